--- /dev/null
+++ b/packages/net/httpclient.cpp
@@ -0,0 +1,329 @@
+#include "httpclient.h"
+
+#include "base/errc.h"
+
+#include <curl/curl.h>
+
+#include <algorithm>
+#include <unordered_map>
+#include <vector>
+
+namespace Yuccagrade
+{
+namespace
+{
+constexpr long connectTimeoutMs = 1000;
+constexpr long maxIdleConnections = 2048;
+constexpr std::size_t maxIdleHandles = 256;
+constexpr std::size_t maxHeaderBytes = 64 * 1024;
+
+struct Transfer {
+    HttpCallId id = 0;
+    CURL *easy = nullptr;
+    curl_slist *headers = nullptr;
+    HttpCall call;
+    HttpClient::Callback callback;
+    HttpResponse response;
+    std::size_t headerBytes = 0;
+    std::size_t maxBodyBytes = 0;
+    bool tooLarge = false;
+    bool chunked = false;
+};
+
+std::size_t appendBody(char *data, std::size_t size, std::size_t count, void *context)
+{
+    auto &transfer = *static_cast<Transfer *>(context);
+    if (transfer.response.body.size() + size * count > transfer.maxBodyBytes) {
+        transfer.tooLarge = true;
+        return 0;
+    }
+    transfer.response.body.append(data, size * count);
+    return size * count;
+}
+
+std::size_t appendHeader(char *data, std::size_t size, std::size_t count, void *context)
+{
+    auto &transfer = *static_cast<Transfer *>(context);
+    const std::string line(data, size * count);
+    transfer.headerBytes += line.size();
+    if (transfer.headerBytes > maxHeaderBytes) {
+        transfer.tooLarge = true;
+        return 0;
+    }
+    const auto colon = line.find(':');
+    if (colon == std::string::npos) {
+        return line.size();
+    }
+    std::string name = line.substr(0, colon);
+    std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) {
+        return static_cast<char>(std::tolower(c));
+    });
+    const auto first = line.find_first_not_of(" \t", colon + 1);
+    const auto last = line.find_last_not_of(" \t\r\n");
+    const std::string value = first == std::string::npos || last < first ? "" : line.substr(first, last - first + 1);
+    transfer.chunked = transfer.chunked || (name == "transfer-encoding" && value.find("chunked") != std::string::npos);
+    transfer.response.headers[std::move(name)] = value;
+    return line.size();
+}
+
+std::error_code errorOf(CURLcode code, const Transfer &transfer)
+{
+    if (transfer.tooLarge) {
+        return Errc::TooLarge;
+    }
+    switch (code) {
+    case CURLE_OK:
+        return {};
+    case CURLE_OPERATION_TIMEDOUT:
+        return Errc::Timeout;
+    case CURLE_COULDNT_CONNECT:
+    case CURLE_COULDNT_RESOLVE_HOST:
+    case CURLE_INTERFACE_FAILED:
+        return Errc::ConnectFailed;
+    case CURLE_WEIRD_SERVER_REPLY:
+    case CURLE_UNSUPPORTED_PROTOCOL:
+    case CURLE_URL_MALFORMAT:
+        return Errc::Malformed;
+    default:
+        return Errc::TransportFailed;
+    }
+}
+}
+
+struct HttpClient::Impl {
+    Impl(EventLoop &eventLoop, std::string ip, std::size_t maxBody)
+        : loop(eventLoop)
+        , sourceIp(std::move(ip))
+        , maxBodyBytes(maxBody)
+    {
+    }
+
+    void prepare(Transfer &transfer);
+    void drive(curl_socket_t socket, int mask);
+    void expire();
+    void collect();
+    void release(Transfer &transfer);
+    HttpResult resultOf(Transfer &transfer, CURLcode code);
+    static int onSocket(CURL *, curl_socket_t socket, int what, void *context, void *);
+    static int onTimer(CURLM *, long timeoutMs, void *context);
+
+    EventLoop &loop;
+    std::string sourceIp;
+    std::size_t maxBodyBytes;
+    CURLM *multi = nullptr;
+    TimerId timer = 0;
+    bool kickPosted = false;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true); ///< lets posted calls see that the client is gone
+    HttpCallId lastId = 0;
+    std::unordered_map<HttpCallId, std::unique_ptr<Transfer>> transfers;
+    std::vector<CURL *> idle;
+};
+
+HttpClient::HttpClient(EventLoop &loop, std::string sourceIp, std::size_t maxBodyBytes)
+    : m_impl(std::make_unique<Impl>(loop, std::move(sourceIp), maxBodyBytes))
+{
+    static const CURLcode initialized = curl_global_init(CURL_GLOBAL_DEFAULT);
+    (void)initialized;
+    m_impl->multi = curl_multi_init();
+    curl_multi_setopt(m_impl->multi, CURLMOPT_SOCKETFUNCTION, &Impl::onSocket);
+    curl_multi_setopt(m_impl->multi, CURLMOPT_SOCKETDATA, m_impl.get());
+    curl_multi_setopt(m_impl->multi, CURLMOPT_TIMERFUNCTION, &Impl::onTimer);
+    curl_multi_setopt(m_impl->multi, CURLMOPT_TIMERDATA, m_impl.get());
+    curl_multi_setopt(m_impl->multi, CURLMOPT_MAXCONNECTS, maxIdleConnections);
+    curl_multi_setopt(m_impl->multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+}
+
+HttpClient::~HttpClient()
+{
+    for (const auto &[id, transfer] : m_impl->transfers) {
+        curl_multi_remove_handle(m_impl->multi, transfer->easy);
+        curl_easy_cleanup(transfer->easy);
+        curl_slist_free_all(transfer->headers);
+    }
+    for (CURL *easy : m_impl->idle) {
+        curl_easy_cleanup(easy);
+    }
+    m_impl->loop.cancel(m_impl->timer);
+    curl_multi_cleanup(m_impl->multi);
+}
+
+int HttpClient::Impl::onSocket(CURL *, curl_socket_t socket, int what, void *context, void *)
+{
+    auto &impl = *static_cast<Impl *>(context);
+    if (what == CURL_POLL_REMOVE) {
+        impl.loop.unwatch(socket);
+        return 0;
+    }
+    const int mask = ((what & CURL_POLL_IN) ? EventLoop::Readable : 0) | ((what & CURL_POLL_OUT) ? EventLoop::Writable : 0);
+    impl.loop.watch(socket, mask, [&impl, socket](int ready) {
+        impl.drive(socket, ready);
+    });
+    return 0;
+}
+
+int HttpClient::Impl::onTimer(CURLM *, long timeoutMs, void *context)
+{
+    auto &impl = *static_cast<Impl *>(context);
+    impl.loop.cancel(impl.timer);
+    impl.timer = 0;
+    if (timeoutMs == 0 && !impl.kickPosted) {
+        // A new call is started in the same turn of the loop instead of waiting for the next timer check.
+        impl.kickPosted = true;
+        impl.loop.post([&impl, alive = std::weak_ptr<bool>(impl.alive)] {
+            if (!alive.expired()) {
+                impl.kickPosted = false;
+                impl.expire();
+            }
+        });
+    } else if (timeoutMs > 0) {
+        impl.timer = impl.loop.after(timeoutMs, [&impl] {
+            impl.timer = 0;
+            impl.expire();
+        });
+    }
+    return 0;
+}
+
+void HttpClient::Impl::expire()
+{
+    int running = 0;
+    curl_multi_socket_action(multi, CURL_SOCKET_TIMEOUT, 0, &running);
+    collect();
+}
+
+void HttpClient::Impl::drive(curl_socket_t socket, int mask)
+{
+    int running = 0;
+    const int flags = ((mask & EventLoop::Readable) ? CURL_CSELECT_IN : 0) | ((mask & EventLoop::Writable) ? CURL_CSELECT_OUT : 0);
+    curl_multi_socket_action(multi, socket, flags, &running);
+    collect();
+}
+
+// Builds the result of a finished transfer. A body that ends with the connection cannot be told from a cut one.
+HttpResult HttpClient::Impl::resultOf(Transfer &transfer, CURLcode code)
+{
+    HttpResult result;
+    result.error = errorOf(code, transfer);
+    long sentBytes = 0;
+    long status = 0;
+    curl_off_t announcedBytes = -1;
+    curl_easy_getinfo(transfer.easy, CURLINFO_REQUEST_SIZE, &sentBytes);
+    curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &status);
+    curl_easy_getinfo(transfer.easy, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &announcedBytes);
+    result.bytesSent = sentBytes > 0;
+    result.response = std::move(transfer.response);
+    result.response.status = static_cast<int>(status);
+    const bool hasNoBody = transfer.call.method == "HEAD" || status == 204 || status == 304;
+    if (!result.error && announcedBytes < 0 && !transfer.chunked && !hasNoBody) {
+        result.error = Errc::TransportFailed;
+    }
+    return result;
+}
+
+void HttpClient::Impl::collect()
+{
+    int left = 0;
+    while (CURLMsg *message = curl_multi_info_read(multi, &left)) {
+        if (message->msg != CURLMSG_DONE) {
+            continue;
+        }
+        const CURLcode code = message->data.result;
+        Transfer *transfer = nullptr;
+        curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
+        auto found = transfers.find(transfer->id);
+        auto owned = std::move(found->second);
+        transfers.erase(found);
+        HttpResult result = resultOf(*owned, code);
+        const auto callback = std::move(owned->callback);
+        release(*owned);
+        callback(std::move(result));
+    }
+}
+
+void HttpClient::Impl::release(Transfer &transfer)
+{
+    curl_multi_remove_handle(multi, transfer.easy);
+    curl_slist_free_all(transfer.headers);
+    if (idle.size() < maxIdleHandles) {
+        curl_easy_reset(transfer.easy);
+        idle.push_back(transfer.easy);
+    } else {
+        curl_easy_cleanup(transfer.easy);
+    }
+}
+
+void HttpClient::Impl::prepare(Transfer &transfer)
+{
+    CURL *easy = transfer.easy;
+    const HttpCall &call = transfer.call;
+    for (const auto &[name, value] : call.headers) {
+        // curl drops a header without a value unless it ends with a semicolon.
+        const std::string line = value.empty() ? name + ';' : name + ": " + value;
+        transfer.headers = curl_slist_append(transfer.headers, line.c_str());
+    }
+    // Without this, curl waits for "100 Continue" before it sends a larger body.
+    transfer.headers = curl_slist_append(transfer.headers, "Expect:");
+    curl_easy_setopt(easy, CURLOPT_URL, ("http://" + call.address + call.target).c_str());
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer.headers);
+    if (!call.body.empty() || call.method == "POST" || call.method == "PUT") {
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(call.body.size()));
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body.c_str());
+    } else if (call.method == "HEAD") {
+        curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+    }
+    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call.freshConnection ? 1L : 0L);
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(std::max<TimeMs>(1, call.timeoutMs)));
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, connectTimeoutMs);
+    if (!sourceIp.empty()) {
+        curl_easy_setopt(easy, CURLOPT_INTERFACE, ("host!" + sourceIp).c_str());
+    }
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &appendBody);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &appendHeader);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
+}
+
+HttpCallId HttpClient::send(HttpCall call, Callback callback)
+{
+    auto transfer = std::make_unique<Transfer>();
+    transfer->id = ++m_impl->lastId;
+    transfer->call = std::move(call);
+    transfer->callback = std::move(callback);
+    transfer->maxBodyBytes = m_impl->maxBodyBytes;
+    if (m_impl->idle.empty()) {
+        transfer->easy = curl_easy_init();
+    } else {
+        transfer->easy = m_impl->idle.back();
+        m_impl->idle.pop_back();
+    }
+    m_impl->prepare(*transfer);
+    const HttpCallId id = transfer->id;
+    CURL *easy = transfer->easy;
+    m_impl->transfers.emplace(id, std::move(transfer));
+    curl_multi_add_handle(m_impl->multi, easy);
+    return id;
+}
+
+void HttpClient::cancel(HttpCallId id)
+{
+    const auto found = m_impl->transfers.find(id);
+    if (found != m_impl->transfers.end()) {
+        auto owned = std::move(found->second);
+        m_impl->transfers.erase(found);
+        m_impl->release(*owned);
+    }
+}
+
+std::size_t HttpClient::pending() const
+{
+    return m_impl->transfers.size();
+}
+}
--- /dev/null
+++ b/packages/net/httpclient.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "eventloop.h"
+#include "http.h"
+
+#include <memory>
+#include <system_error>
+
+namespace Yuccagrade
+{
+/// A request to send.
+struct HttpCall {
+    std::string method = "GET";
+    std::string address; ///< "ip:port"
+    std::string target; ///< path with query
+    HttpHeaders headers;
+    std::string body;
+    TimeMs timeoutMs = 1000;
+    /// Opens a new connection. Needed for requests that must not be sent twice: libcurl resends a request when a reused
+    /// connection closes before any byte of the response.
+    bool freshConnection = false;
+};
+
+/// The outcome of an HttpCall.
+struct HttpResult {
+    /// Timeout, ConnectFailed, TransportFailed (also for a response shorter than announced), TooLarge, Malformed
+    std::error_code error;
+    bool bytesSent = false; ///< false only if no byte of the request left this process
+    HttpResponse response;
+};
+
+using HttpCallId = std::uint64_t;
+
+/// Sends HTTP requests on the event loop over reused connections.
+class HttpClient
+{
+public:
+    using Callback = std::function<void(HttpResult)>;
+
+    /// @param sourceIp IP number for outgoing connections, empty for any.
+    explicit HttpClient(EventLoop &loop, std::string sourceIp = {}, std::size_t maxBodyBytes = 8 * 1024 * 1024);
+    ~HttpClient();
+    HttpClient(const HttpClient &) = delete;
+    HttpClient &operator=(const HttpClient &) = delete;
+
+    /// Starts a call. The callback runs later on the loop, never inside this function.
+    HttpCallId send(HttpCall call, Callback callback);
+    /// Ends a call without its callback and closes its connection.
+    void cancel(HttpCallId id);
+    std::size_t pending() const;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+}
