--- a/packages/net/httpclient.cpp
+++ b/packages/net/httpclient.cpp
@@ -15,7 +15,7 @@
 constexpr long connectTimeoutMs = 1000;
 constexpr long maxIdleConnections = 2048;
 constexpr std::size_t maxIdleHandles = 256;
-constexpr std::size_t maxHeaderBytes = 64 * 1024;
+constexpr std::size_t maxHeaderBytes = 65'536;
 
 struct Transfer {
     HttpCallId id = 0;
@@ -258,7 +258,9 @@
     const HttpCall &call = transfer.call;
     for (const auto &[name, value] : call.headers) {
         // curl drops a header without a value unless it ends with a semicolon.
-        const std::string line = value.empty() ? name + ';' : name + ": " + value;
+        std::string line = name;
+        line += value.empty() ? ";" : ": ";
+        line += value;
         transfer.headers = curl_slist_append(transfer.headers, line.c_str());
     }
     // Without this, curl waits for "100 Continue" before it sends a larger body.
--- a/packages/net/httpclient.h
+++ b/packages/net/httpclient.h
@@ -38,7 +38,7 @@
     using Callback = std::function<void(HttpResult)>;
 
     /// @param sourceIp IP number for outgoing connections, empty for any.
-    explicit HttpClient(EventLoop &loop, std::string sourceIp = {}, std::size_t maxBodyBytes = 8 * 1024 * 1024);
+    explicit HttpClient(EventLoop &loop, std::string sourceIp = {}, std::size_t maxBodyBytes = 8'388'608);
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
--- a/packages/net/httpserver.h
+++ b/packages/net/httpserver.h
@@ -53,8 +53,8 @@
 
 /// Limits of one listener.
 struct HttpServerLimits {
-    std::size_t maxBodyBytes = 8 * 1024 * 1024;
-    std::size_t maxHeaderBytes = 32 * 1024; ///< a longer header is answered with 431 or the connection is closed
+    std::size_t maxBodyBytes = 8'388'608;
+    std::size_t maxHeaderBytes = 32'768; ///< a longer header is answered with 431 or the connection is closed
     unsigned int idleTimeoutS = 60;
     unsigned int maxConnections = 4096;
 };
--- /dev/null
+++ b/packages/node/headers.cpp
@@ -0,0 +1,53 @@
+#include "headers.h"
+
+#include <algorithm>
+#include <array>
+#include <string_view>
+
+namespace Yuccagrade
+{
+namespace
+{
+// RFC 9110, section 7.6.1, and the fields that libcurl and libmicrohttpd set themselves.
+constexpr std::array<std::string_view, 12> hopByHop{
+    "connection", "content-length", "date", "expect", "host", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade",
+    "proxy-authenticate",
+};
+// Credentials of the caller. A team's key must not reach an upstream.
+constexpr std::array<std::string_view, 2> credentials{"authorization", "proxy-authorization"};
+constexpr std::string_view layerPrefix = "yuccagrade-";
+
+template<std::size_t size>
+bool contains(const std::array<std::string_view, size> &names, std::string_view name)
+{
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+bool isForwarded(std::string_view name)
+{
+    return !contains(hopByHop, name) && !name.starts_with(layerPrefix);
+}
+}
+
+HttpHeaders forwardedRequestHeaders(const HttpHeaders &headers)
+{
+    HttpHeaders result;
+    for (const auto &[name, value] : headers) {
+        if (isForwarded(name) && !contains(credentials, name)) {
+            result[name] = value;
+        }
+    }
+    return result;
+}
+
+HttpHeaders forwardedResponseHeaders(const HttpHeaders &headers)
+{
+    HttpHeaders result;
+    for (const auto &[name, value] : headers) {
+        if (isForwarded(name)) {
+            result[name] = value;
+        }
+    }
+    return result;
+}
+}
--- a/packages/protocol/peerauth.cpp
+++ b/packages/protocol/peerauth.cpp
@@ -35,7 +35,7 @@
 }
 }
 
-PeerAuth::PeerAuth(PeerIdentity identity, std::string secret, HybridClock &clock, Clock wallClock)
+PeerAuth::PeerAuth(PeerIdentity identity, std::string secret, HybridClock &clock, const Clock &wallClock)
     : m_identity(std::move(identity))
     , m_secret(std::move(secret))
     , m_clock(clock)
--- a/packages/protocol/peerauth.h
+++ b/packages/protocol/peerauth.h
@@ -28,7 +28,7 @@
 class PeerAuth
 {
 public:
-    PeerAuth(PeerIdentity identity, std::string secret, HybridClock &clock, Clock wallClock);
+    PeerAuth(PeerIdentity identity, std::string secret, HybridClock &clock, const Clock &wallClock);
 
     const PeerIdentity &identity() const
     {
--- a/tests/net/httptest.cpp
+++ b/tests/net/httptest.cpp
@@ -42,7 +42,7 @@
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         m_listener = socket(AF_INET, SOCK_STREAM, 0);
-        bind(m_listener, reinterpret_cast<sockaddr *>(&address), sizeof address);
+        BOOST_REQUIRE(bind(m_listener, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0);
         listen(m_listener, 8);
         socklen_t size = sizeof address;
         getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &size);
--- a/tests/protocol/peerlinktest.cpp
+++ b/tests/protocol/peerlinktest.cpp
@@ -64,6 +64,7 @@
     BOOST_TEST(rc::check([](const std::vector<std::uint8_t> &order) {
         Ends ends;
         std::vector<std::string> headers;
+        headers.reserve(256);
         for (int i = 0; i < 256; ++i) {
             headers.push_back(ends.a.sign("127.0.0.1:2", "x"));
         }
