--- a/packages/config/clusterstate.h
+++ b/packages/config/clusterstate.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <system_error>
@@ -40,6 +41,9 @@
     std::string hash;
     std::uint64_t givenIndex = 0;
     std::uint64_t withdrawnIndex = 0; ///< 0 while the key is valid; a withdrawn key has neither salt nor hash
+
+    Json::Value toJson() const;
+    static bool fromJson(const Json::Value &value, KeyRecord &record);
 };
 
 struct ClaimGroup {
@@ -47,15 +51,26 @@
     std::uint64_t epoch = 0; ///< 0 before the first replicas are set
     std::vector<ClaimReplica> replicas;
     std::vector<ClaimReplica> formerReplicas; ///< of epoch - 1
+
+    Json::Value toJson() const;
+    static bool fromJson(const Json::Value &value, ClaimGroup &group);
 };
 
 struct FloorHolder {
     std::string domain;
     std::string holder; ///< node id; empty if nobody holds the floor
     std::uint64_t epoch = 0;
+
+    Json::Value toJson() const;
+    static bool fromJson(const Json::Value &value, FloorHolder &holder);
 };
 
 /// The replicated state machine. The same commands in the same order give the same state on every host.
+///
+/// Bounds: the answers of the last 2,048 submissions are kept, about 1.7 days at 1,200 changes a day. A submission
+/// that is resent later is taken as a new one: a manifest is then refused because its version is not above the current
+/// one, a key is given a second time, and a withdrawal repeats without effect. At most 20,000 keys are valid at a time,
+/// and the last 1,024 withdrawn keys are listed.
 class ClusterState
 {
 public:
@@ -79,7 +94,7 @@
     std::uint64_t manifestIndex() const;
     /// Returns the team of a valid key. A key of a team that the manifest does not name is not valid.
     std::optional<std::string> teamOfKey(std::string_view keyText) const;
-    /// All keys in the order of their ids, with the last 1,024 withdrawn ones.
+    /// All keys in the order of their ids, including the listed withdrawn ones.
     std::vector<KeyRecord> keys() const;
     /// Returns the group; epoch 0 if it has no replicas yet. Null for a number outside 0 to claimGroupCount - 1.
     const ClaimGroup *claimGroup(int number) const;
@@ -99,22 +114,27 @@
         static bool fromJson(const Json::Value &value, Submission &submission);
     };
 
-    ApplyResult applySubmission(const std::string &id, const std::string &fingerprint, const Command &command);
     ApplyResult run(const PutManifest &command);
     ApplyResult run(const GiveKey &command);
     ApplyResult run(const WithdrawKey &command);
     ApplyResult run(const SetClaimGroup &command);
     ApplyResult run(const SetFloorHolder &command);
-    ApplyResult runAny(const Command &command);
+    ApplyResult runOnce(const std::string &id, const std::string &fingerprint, const Command &command);
+    void setManifest(Manifest manifest, const std::string &text);
     void storeSubmission(Submission submission);
-    bool readSnapshot(const Json::Value &value);
     void dropOldWithdrawnKeys();
+    bool readManifest(const Json::Value &value);
+    bool readKeys(const Json::Value &value);
+    bool readSubmissions(const Json::Value &value);
+    bool readClaimGroups(const Json::Value &value);
+    bool readFloorHolders(const Json::Value &value);
 
     std::uint64_t m_index = 0;
     std::shared_ptr<const Manifest> m_manifest;
     std::string m_manifestText;
     std::string m_manifestSubmission;
     std::uint64_t m_manifestIndex = 0;
+    std::set<std::string, std::less<>> m_teams; // of the manifest
     std::map<std::string, KeyRecord, std::less<>> m_keys;
     std::map<std::string, Submission> m_submissions;
     std::deque<std::string> m_submissionOrder; // oldest first
