--- a/packages/config/inisections.cpp
+++ b/packages/config/inisections.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <set>
 
 namespace Yuccagrade
 {
@@ -206,6 +205,7 @@
             section.m_values[entry.name] = {entry.value, entry.line};
         } else if (isList(option.type)) {
             found->second.text += ',' + entry.value;
+            found->second.line = entry.line;
         } else {
             report(entry.line, "'" + entry.name + "' occurs twice, first in line " + std::to_string(found->second.line));
         }
@@ -227,6 +227,13 @@
     std::map<std::string, int> m_positions; // header to index in m_sections; -1 for a reported one
 };
 
+void sortByLine(Findings &findings)
+{
+    std::stable_sort(findings.begin(), findings.end(), [](const Finding &a, const Finding &b) {
+        return a.line < b.line;
+    });
+}
+
 std::vector<IniSection> readSections(const std::string &text, const std::string &file, const FileFormat &format, Findings &findings)
 {
     SectionReader reader(file, format, findings);
--- a/packages/config/inisections.h
+++ b/packages/config/inisections.h
@@ -50,4 +50,6 @@
 /// Parses INI text and checks names, values and required options against @p format. Defects are added to
 /// @p findings; what remains is returned in the order of the file.
 std::vector<IniSection> readSections(const std::string &text, const std::string &file, const FileFormat &format, Findings &findings);
+/// Puts the findings of one file into the order of their lines.
+void sortByLine(Findings &findings);
 }
--- a/packages/config/manifestreader.cpp
+++ b/packages/config/manifestreader.cpp
@@ -15,7 +15,7 @@
 
 // The text travels in one log entry and one HTTP request. 180 services with ten routes each take about 0.5 MB.
 constexpr std::size_t maxTextBytes = 2'000'000;
-// Longer than the claim of an action may be needed, see docs/design.md 5.5.
+// A claim must outlast every deadline; the shortest claim window is twice this ceiling.
 constexpr double maxTimeoutMs = 60'000;
 constexpr double maxRate = 1e6;
 // Whole numbers up to here survive the conversion to double in the range check.
@@ -69,12 +69,7 @@
            .choices = "yes|no",
            .fallback = "no",
            .help = "Must run at most once; callers send an Idempotency-Key."},
-    Option{.section = "route",
-           .name = "idempotent",
-           .type = Choice,
-           .choices = "yes|no",
-           .fallback = "no",
-           .help = "May be sent again after a failure."},
+    Option{.section = "route", .name = "idempotent", .type = Choice, .choices = "yes|no", .fallback = "no", .help = "May be sent again after a failure."},
     Option{.section = "route",
            .name = "timeout-ms",
            .type = Integer,
@@ -330,6 +325,7 @@
             checker.checkRoute(section, manifest.routes[route++]);
         }
     }
+    sortByLine(findings);
     return manifest;
 }
 }
--- a/packages/config/optiontable.cpp
+++ b/packages/config/optiontable.cpp
@@ -109,6 +109,11 @@
     return false;
 }
 
+std::string quoted(std::string_view text)
+{
+    return '`' + std::string(text) + '`';
+}
+
 std::string number(double value)
 {
     std::ostringstream out;
@@ -235,9 +240,15 @@
         for (auto bar = range.find('|'); bar != std::string::npos; bar = range.find('|', bar + 4)) {
             range.replace(bar, 1, " or ");
         }
-        const std::string fallback = option.required ? "required" : option.fallback.empty() ? "-" : '`' + std::string(option.fallback) + '`';
-        rows += "| " + (option.section.empty() ? std::string("-") : '`' + std::string(option.section) + '`') + " | `" + std::string(option.name) + "` | "
-            + (option.unit.empty() ? "-" : std::string(option.unit)) + " | " + range + " | " + fallback + " | " + std::string(option.help) + " |\n";
+        const std::string fallback = option.required ? "required" : option.fallback.empty() ? "-" : quoted(option.fallback);
+        const std::string section = option.section.empty() ? "-" : quoted(option.section);
+        const std::string name = quoted(option.name);
+        const std::string_view unit = option.unit.empty() ? "-" : option.unit;
+        for (const std::string_view cell :
+             {std::string_view(section), std::string_view(name), unit, std::string_view(range), std::string_view(fallback), option.help}) {
+            rows.append("| ").append(cell).append(" ");
+        }
+        rows += "|\n";
     }
     return rows;
 }
--- a/packages/config/optiontable.h
+++ b/packages/config/optiontable.h
@@ -24,21 +24,21 @@
 
 /// One option of a file. Feeds the check, the help text and docs/MANIFEST.md.
 struct Option {
-    std::string_view section = ""; ///< kind of section
-    std::string_view name = "";
+    std::string_view section = {}; ///< kind of section
+    std::string_view name = {};
     OptionType type = OptionType::Name;
-    std::string_view unit = ""; ///< empty for none
+    std::string_view unit = {}; ///< empty for none
     double minimum = 0; ///< of Integer and Real
     double maximum = 0;
-    std::string_view choices = ""; ///< separated by `|`
-    std::string_view fallback = ""; ///< default; empty for none
+    std::string_view choices = {}; ///< separated by `|`
+    std::string_view fallback = {}; ///< default; empty for none
     bool required = false;
-    std::string_view help = "";
+    std::string_view help = {};
 };
 
 /// One kind of section.
 struct SectionKind {
-    std::string_view name = ""; ///< empty for entries before any section
+    std::string_view name = {}; ///< empty for entries before any section
     bool named = false; ///< `[kind NAME]`, may occur several times
     bool required = false;
 };
--- a/packages/config/settings.cpp
+++ b/packages/config/settings.cpp
@@ -28,7 +28,9 @@
     Option{.name = "operator-address", .type = Address, .required = true, .help = "Listens for operators."},
     Option{.name = "source-address", .type = IpAddress, .help = "IP number of outgoing connections; default that of peer-advertise."},
     Option{.name = "seeds", .type = AddressList, .help = "Peer addresses of control hosts; required for role node."},
-    Option{.name = "members", .type = MemberList, .help = "Control hosts of the first group, this one included; required for role control, not allowed for node."},
+    Option{.name = "members",
+           .type = MemberList,
+           .help = "Control hosts of the first group, this one included; required for role control, not allowed for node."},
     Option{.name = "cluster-secret-file", .type = File, .required = true, .help = "Secret that authenticates peers; mode 0600 or stricter."},
     Option{.name = "operator-secret-file", .type = File, .required = true, .help = "Secret that authenticates operators; mode 0600 or stricter."},
     Option{.name = "data-folder", .type = File, .help = "Folder of the durable state; required for role control, not allowed for node."},
@@ -196,8 +198,9 @@
 Settings parseSettings(const std::string &text, const std::string &file, Findings &findings)
 {
     const auto found = readSections(text, file, format, findings);
-    const Settings settings = convert(found.front());
+    Settings settings = convert(found.front());
     Checker(found.front(), settings, file, findings).run();
+    sortByLine(findings);
     return settings;
 }
 
