Membership: track every source that vouches for a member

Cause: a report was ignored while the member was heard directly, so it went down later although its coordinator heard it. Change: a member stays up while anybody vouches for it; descriptions carry a revision, so an old report cannot undo a newer description.

--- a/packages/membership/memberview.cpp
+++ b/packages/membership/memberview.cpp
@@ -24,10 +24,12 @@
 bool MemberView::hear(const Member &member, std::uint64_t stateIndex, TimeMs now)
 {
     Entry &entry = m_entries[member.id];
-    if (!set(entry, member)) {
+    if (member.incarnation < entry.member.incarnation) {
         return false;
     }
-    vouch(entry, m_source, now);
+    set(entry, member);
+    becomeHeard(entry);
+    entry.heardAt = now;
     confirm(entry, {member.id, member.incarnation, stateIndex});
     return true;
 }
@@ -42,9 +44,9 @@
     }
     // An older report that arrives late must not undo a newer one.
     if (report.version >= known.version) {
-        takeMembers(reporter, report, now);
+        takeMembers(reporter, report);
         if (report.base == 0) {
-            dropUnlisted(reporter, report, now);
+            dropUnlisted(reporter, report);
         }
     }
     for (const StateConfirmation &confirmation : report.confirmed) {
@@ -57,37 +59,40 @@
     return known.version;
 }
 
-void MemberView::takeMembers(const std::string &reporter, const MemberReport &report, TimeMs now)
+void MemberView::takeMembers(const std::string &reporter, const MemberReport &report)
 {
     for (const Member &member : report.members) {
         Entry &entry = m_entries[member.id];
-        const bool newer = member.incarnation > entry.member.incarnation;
         if (!member.up) {
-            if (newer || entry.voucher == reporter) {
-                if (set(entry, member)) {
-                    entry.voucher.clear();
-                    ++m_losses;
-                }
+            if (member.incarnation > entry.member.incarnation) {
+                set(entry, member);
             }
-            continue;
-        }
-        const bool heardHere = entry.voucher == m_source && silentSince(entry, now) < memberSilentMs;
-        if ((newer || !heardHere) && set(entry, member)) {
-            vouch(entry, reporter, now);
+            withdraw(entry, reporter);
+        } else if (member.incarnation >= entry.member.incarnation) {
+            set(entry, member);
+            becomeHeard(entry);
+            entry.vouchers.insert(reporter);
         }
     }
 }
 
-void MemberView::dropUnlisted(const std::string &reporter, const MemberReport &report, TimeMs now)
+void MemberView::withdraw(Entry &entry, const std::string &reporter)
+{
+    if (entry.vouchers.erase(reporter) != 0 && !isHeard(entry)) {
+        markDown(entry);
+        ++m_losses;
+    }
+}
+
+void MemberView::dropUnlisted(const std::string &reporter, const MemberReport &report)
 {
     std::set<std::string> listed;
     for (const Member &member : report.members) {
         listed.insert(member.id);
     }
     for (auto &[id, entry] : m_entries) {
-        if (entry.voucher == reporter && !listed.count(id)) {
-            entry.voucher = m_source; // goes down here unless it is heard within the usual time
-            entry.heardAt = now;
+        if (!listed.count(id)) {
+            withdraw(entry, reporter);
         }
     }
 }
@@ -102,7 +107,7 @@
             continue;
         }
         Entry &entry = m_entries[member.id];
-        if (isLearned(entry) || member.incarnation > entry.member.incarnation) {
+        if (!isHeard(entry) || member.incarnation > entry.member.incarnation) {
             set(entry, member);
         }
     }
@@ -110,7 +115,7 @@
         return;
     }
     for (auto &[id, entry] : m_entries) {
-        if (isLearned(entry) && !listed.count(id)) {
+        if (!isHeard(entry) && !listed.count(id)) {
             markDown(entry);
         }
     }
@@ -121,8 +126,8 @@
 {
     m_reporters[formerOwner].heardAt = now;
     for (auto &[id, entry] : m_entries) {
-        if (entry.voucher.empty() && entry.member.up && (domain.empty() || entry.member.domain == domain)) {
-            entry.voucher = formerOwner;
+        if (!isHeard(entry) && entry.member.up && (domain.empty() || entry.member.domain == domain)) {
+            entry.vouchers.insert(formerOwner);
         }
     }
 }
@@ -131,11 +136,9 @@
 {
     std::vector<Member> down;
     for (auto &[id, entry] : m_entries) {
-        const TimeMs limit = entry.voucher == m_source ? memberSilentMs : reporterSilentMs;
-        if (!entry.voucher.empty() && silentSince(entry, now) >= limit) {
+        if (loseSilent(entry, memberSilentMs, now)) {
             markDown(entry);
             down.push_back(entry.member);
-            ++m_losses;
         }
     }
     std::erase_if(m_reporters, [now](const auto &item) {
@@ -148,16 +151,28 @@
 void MemberView::forgetHeard(TimeMs now)
 {
     for (auto &[id, entry] : m_entries) {
-        const TimeMs limit = entry.voucher == m_source ? relaySilentMs : reporterSilentMs;
-        if (!entry.voucher.empty() && silentSince(entry, now) >= limit) {
-            entry.voucher.clear();
+        if (loseSilent(entry, relaySilentMs, now)) {
             entry.dropped = true;
             entry.changed = entry.reported = ++m_version;
-            ++m_losses;
         }
     }
 }
 
+bool MemberView::loseSilent(Entry &entry, TimeMs silentMs, TimeMs now)
+{
+    const bool hadAny = entry.heardAt || !entry.vouchers.empty();
+    if (entry.heardAt && now - *entry.heardAt >= silentMs) {
+        entry.heardAt.reset();
+    }
+    std::erase_if(entry.vouchers, [this, now](const std::string &voucher) {
+        const auto reporter = m_reporters.find(voucher);
+        return reporter == m_reporters.end() || now - reporter->second.heardAt >= reporterSilentMs;
+    });
+    const bool lost = hadAny && !entry.heardAt && entry.vouchers.empty();
+    m_losses += lost ? 1 : 0;
+    return lost;
+}
+
 ViewDelta MemberView::changesSince(const std::string &source, std::uint64_t version) const
 {
     ViewDelta delta;
@@ -178,7 +193,7 @@
     report.base = base <= m_version ? base : 0;
     report.version = m_version;
     for (const auto &[id, entry] : m_entries) {
-        const bool mine = !isLearned(entry) || entry.dropped || !entry.member.up;
+        const bool mine = isHeard(entry) || entry.dropped || !entry.member.up;
         if (!mine || entry.reported <= report.base) {
             continue;
         }
@@ -218,33 +233,33 @@
 
 bool MemberView::set(Entry &entry, const Member &member)
 {
-    if (member.incarnation < entry.member.incarnation) {
+    const auto rank = [](const Member &item) {
+        return std::pair(item.incarnation, item.revision);
+    };
+    if (rank(member) < rank(entry.member)) {
         return false;
     }
     if (member.incarnation > entry.member.incarnation) {
         entry.stateIndex = 0;
         entry.dropped = false;
-        entry.voucher.clear();
+        entry.heardAt.reset();
+        entry.vouchers.clear();
     }
-    Member merged = member;
-    // A process never leaves draining within one incarnation; an outdated view must not bring it back.
-    merged.draining = member.draining || (member.incarnation == entry.member.incarnation && entry.member.draining);
-    if (entry.member != merged) {
-        entry.member = merged;
+    if (entry.member != member) {
+        entry.member = member;
         entry.changed = entry.reported = ++m_version;
     }
     return true;
 }
 
-void MemberView::vouch(Entry &entry, const std::string &voucher, TimeMs now)
+void MemberView::becomeHeard(Entry &entry)
 {
     // A learned member becomes part of the reports, so the reports must list it again.
-    if (isLearned(entry)) {
-        entry.changed = entry.reported = ++m_version;
+    if (!isHeard(entry) || !entry.member.up) {
+        entry.member.up = true;
         entry.dropped = false;
+        entry.changed = entry.reported = ++m_version;
     }
-    entry.voucher = voucher;
-    entry.heardAt = now;
 }
 
 void MemberView::confirm(Entry &entry, const StateConfirmation &confirmation)
@@ -255,23 +270,13 @@
     }
 }
 
-TimeMs MemberView::silentSince(const Entry &entry, TimeMs now) const
-{
-    if (entry.voucher == m_source) {
-        return now - entry.heardAt;
-    }
-    const auto reporter = m_reporters.find(entry.voucher);
-    return reporter == m_reporters.end() ? reporterSilentMs : now - reporter->second.heardAt;
-}
-
-bool MemberView::isLearned(const Entry &entry) const
+bool MemberView::isHeard(const Entry &entry)
 {
-    return entry.voucher.empty() || entry.voucher == formerOwner;
+    return entry.heardAt || entry.vouchers.size() > entry.vouchers.count(formerOwner);
 }
 
 void MemberView::markDown(Entry &entry)
 {
-    entry.voucher.clear();
     if (entry.member.up) {
         entry.member.up = false;
         entry.changed = entry.reported = ++m_version;
--- a/packages/membership/memberview.h
+++ b/packages/membership/memberview.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -19,7 +20,7 @@
 ///
 /// Members come from three sources: heard directly, vouched for by a reporter (a coordinator or relay that syncs with
 /// this process) and learned from the responses of this process's own syncs. What is heard here wins over what is
-/// learned. A lower incarnation never replaces a higher one.
+/// learned. A lower incarnation, or revision within one, never replaces a higher one.
 class MemberView
 {
 public:
@@ -69,8 +70,8 @@
     struct Entry {
         Member member;
         std::uint64_t stateIndex = 0;
-        std::string voucher; ///< own source, a reporter, or empty if only learned
-        TimeMs heardAt = 0;
+        std::optional<TimeMs> heardAt; ///< last message to this process
+        std::set<std::string> vouchers; ///< reporters that list the member
         std::uint64_t changed = 0; ///< version of the last change of `member`
         std::uint64_t reported = 0; ///< version of the last change of anything that a report contains
         bool dropped = false; ///< was heard here once; a report withdraws it
@@ -80,12 +81,13 @@
         std::uint64_t version = 0;
     };
     bool set(Entry &entry, const Member &member);
-    void vouch(Entry &entry, const std::string &voucher, TimeMs now);
+    void becomeHeard(Entry &entry);
     void confirm(Entry &entry, const StateConfirmation &confirmation);
-    void takeMembers(const std::string &reporter, const MemberReport &report, TimeMs now);
-    TimeMs silentSince(const Entry &entry, TimeMs now) const;
-    bool isLearned(const Entry &entry) const;
-    void dropUnlisted(const std::string &reporter, const MemberReport &report, TimeMs now);
+    void takeMembers(const std::string &reporter, const MemberReport &report);
+    bool loseSilent(Entry &entry, TimeMs silentMs, TimeMs now);
+    static bool isHeard(const Entry &entry);
+    void withdraw(Entry &entry, const std::string &reporter);
+    void dropUnlisted(const std::string &reporter, const MemberReport &report);
     void markDown(Entry &entry);
     void trimTombstones();
 
--- a/packages/membership/syncclient.cpp
+++ b/packages/membership/syncclient.cpp
@@ -46,7 +46,7 @@
         return std::nullopt;
     }
     m_sentAt = now;
-    m_view.hear(m_self, m_state.index(), now);
+    announceSelf(now);
     if (m_viewLosses != m_view.losses()) {
         m_viewLosses = m_view.losses();
         m_viewVersion = 0;
@@ -149,6 +149,16 @@
     return suspect == m_suspectUntil.end() || now >= suspect->second;
 }
 
+void SyncClient::announceSelf(TimeMs now)
+{
+    m_announced.revision = m_self.revision;
+    if (m_self != m_announced) {
+        ++m_self.revision;
+        m_announced = m_self;
+    }
+    m_view.hear(m_self, m_state.index(), now);
+}
+
 SyncRequest SyncClient::buildRequest(const std::string &address, TimeMs now) const
 {
     SyncRequest request;
--- a/packages/membership/syncclient.h
+++ b/packages/membership/syncclient.h
@@ -60,10 +60,12 @@
     std::string target(TimeMs now, Random &random);
     std::string firstUsable(const std::vector<std::string> &addresses, TimeMs now, Random &random) const;
     bool isUsable(const std::string &address, TimeMs now) const;
+    void announceSelf(TimeMs now);
     SyncRequest buildRequest(const std::string &address, TimeMs now) const;
     void learnContacts(const SyncResponse &response, TimeMs now);
 
     Member m_self;
+    Member m_announced; ///< description in the last request
     std::vector<std::string> m_seeds;
     MemberView &m_view;
     ProofHolder &m_proofs;
--- a/packages/protocol/syncmessages.cpp
+++ b/packages/protocol/syncmessages.cpp
@@ -63,6 +63,7 @@
     Json::Value value;
     value["id"] = id;
     value["incarnation"] = Json::UInt64(incarnation);
+    value["revision"] = Json::UInt64(revision);
     value["domain"] = domain;
     value["region"] = region;
     value["peerAddress"] = peerAddress;
@@ -78,6 +79,7 @@
     return JsonReader(value)
                .read("id", out.id)
                .read("incarnation", out.incarnation)
+               .read("revision", out.revision)
                .read("domain", out.domain)
                .read("region", out.region)
                .read("peerAddress", out.peerAddress)
--- a/packages/protocol/syncmessages.h
+++ b/packages/protocol/syncmessages.h
@@ -24,6 +24,7 @@
 struct Member {
     std::string id;
     std::uint64_t incarnation = 0; ///< start time of the process in ms
+    std::uint64_t revision = 0; ///< counts the changes of this description within the incarnation
     std::string domain;
     std::string region;
     std::string peerAddress; ///< advertised address for control messages and data calls
