--- a/tests/claims/claimproperties.cpp
+++ b/tests/claims/claimproperties.cpp
@@ -37,6 +37,7 @@
     BOOST_TEST(rc::check([](std::uint64_t salt, std::uint8_t victim) {
         Random random(salt);
         std::vector<ClaimReplica> replicas;
+        replicas.reserve(3);
         for (int i = 0; i < 3; ++i) {
             replicas.emplace_back(ReplicaOptions{0, 1, i == victim % 3 ? ReplicaStart::Restarted : ReplicaStart::FirstEpoch, 0}, 0);
         }
--- a/tests/claims/simulation.cpp
+++ b/tests/claims/simulation.cpp
@@ -76,7 +76,7 @@
     m_events.emplace(m_now + delay, std::move(event));
 }
 
-void ClaimSimulation::send(std::function<void()> delivery)
+void ClaimSimulation::send(const std::function<void()> &delivery)
 {
     if (m_random.fraction() < m_faults.loss) {
         return;
--- a/tests/claims/simulation.h
+++ b/tests/claims/simulation.h
@@ -40,7 +40,7 @@
     using Claimer = std::shared_ptr<ClaimCoordinator>;
 
     void at(TimeMs delay, std::function<void()> event);
-    void send(std::function<void()> delivery);
+    void send(const std::function<void()> &delivery);
     TimeMs local(double rate) const;
     std::vector<int> members(std::int64_t epoch) const;
     void start(int host, std::int64_t epoch, ReplicaStart how);
