--- a/packages/config/clusterstate.cpp
+++ b/packages/config/clusterstate.cpp
@@ -74,10 +74,10 @@
     return list;
 }
 
-bool areValidReplicas(const std::vector<ClaimReplica> &replicas)
+bool areValidReplicas(const std::vector<ClaimReplicaSpec> &replicas)
 {
     std::set<std::string> ids;
-    for (const ClaimReplica &replica : replicas) {
+    for (const ClaimReplicaSpec &replica : replicas) {
         std::string ip;
         int port = 0;
         if (!isName(replica.id) || !isName(replica.domain) || !splitAddress(replica.address, ip, port)) {
@@ -313,12 +313,21 @@
     if (!parseTeamKey(keyText, key)) {
         return std::nullopt;
     }
-    const auto found = m_keys.find(key.id);
+    const auto team = teamOfKeyId(key.id);
+    if (!team) {
+        return std::nullopt;
+    }
+    const KeyRecord &record = m_keys.find(key.id)->second;
+    return equalConstantTime(hashKeySecret(record.salt, key.secret), record.hash) ? team : std::nullopt;
+}
+
+std::optional<std::string> ClusterState::teamOfKeyId(std::string_view keyId) const
+{
+    const auto found = m_keys.find(keyId);
     if (found == m_keys.end() || found->second.withdrawnIndex > 0 || !m_teams.contains(found->second.team)) {
         return std::nullopt;
     }
-    const KeyRecord &record = found->second;
-    return equalConstantTime(hashKeySecret(record.salt, key.secret), record.hash) ? std::optional(record.team) : std::nullopt;
+    return found->second.team;
 }
 
 std::vector<KeyRecord> ClusterState::keys() const
--- a/packages/config/clusterstate.h
+++ b/packages/config/clusterstate.h
@@ -49,8 +49,8 @@
 struct ClaimGroup {
     int number = 0;
     std::uint64_t epoch = 0; ///< 0 before the first replicas are set
-    std::vector<ClaimReplica> replicas;
-    std::vector<ClaimReplica> formerReplicas; ///< of epoch - 1
+    std::vector<ClaimReplicaSpec> replicas;
+    std::vector<ClaimReplicaSpec> formerReplicas; ///< of epoch - 1
 
     Json::Value toJson() const;
     static bool fromJson(const Json::Value &value, ClaimGroup &group);
@@ -94,6 +94,8 @@
     std::uint64_t manifestIndex() const;
     /// Returns the team of a valid key. A key of a team that the manifest does not name is not valid.
     std::optional<std::string> teamOfKey(std::string_view keyText) const;
+    /// Returns the team of the valid key with this id, without a check of its secret.
+    std::optional<std::string> teamOfKeyId(std::string_view keyId) const;
     /// All keys in the order of their ids, including the listed withdrawn ones.
     std::vector<KeyRecord> keys() const;
     /// Returns the group; epoch 0 if it has no replicas yet. Null for a number outside 0 to claimGroupCount - 1.
--- a/packages/node/runningcalls.cpp
+++ b/packages/node/runningcalls.cpp
@@ -11,7 +11,7 @@
 
 std::shared_ptr<RunningCall> RunningCalls::begin(const CallMeta &meta, TimeMs deadline)
 {
-    auto call = std::make_shared<RunningCall>(RunningCall{randomToken(contextBytes), meta, deadline, meta.retries});
+    auto call = std::make_shared<RunningCall>(RunningCall{randomToken(contextBytes), meta, deadline, AttemptBudget(meta.retries)});
     m_calls.emplace(call->contextId, call);
     return call;
 }
--- a/packages/node/runningcalls.h
+++ b/packages/node/runningcalls.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "callmeta.h"
+#include "policy/attemptbudget.h"
 
 #include <memory>
 #include <string>
@@ -13,7 +14,7 @@
     std::string contextId; ///< random, known to the upstream only
     CallMeta meta;
     TimeMs deadline = 0; ///< on the monotonic clock of this process
-    int retriesLeft = 0; ///< unused attempts of this call's tree
+    AttemptBudget budget{0}; ///< unused retries of this call's tree
 };
 
 /// The calls that run now, found by the Yuccagrade-Context value of a nested call.
--- /dev/null
+++ b/packages/node/upstreamgate.cpp
@@ -0,0 +1,335 @@
+#include "upstreamgate.h"
+
+#include "base/errc.h"
+#include "headers.h"
+#include "protocol/jsoncodec.h"
+
+#include <algorithm>
+
+namespace Yuccagrade
+{
+namespace
+{
+constexpr TimeMs admissionTickMs = 5;
+constexpr TimeMs upstreamSilentMs = 3'000; // three missed announcements
+constexpr TimeMs watchPeriodMs = 200;
+constexpr int statusServiceUnavailable = 503;
+constexpr int retryAfterS = 1;
+
+Problem notRun(int status, Event event, std::string detail, int retryS = 0)
+{
+    return {status, event, Outcome::NotRun, std::move(detail), retryS};
+}
+
+// Maps a failed exchange with the upstream. Without a byte sent, the upstream cannot have run the request.
+Problem problemOf(const HttpResult &result)
+{
+    if (!result.bytesSent) {
+        return notRun(statusServiceUnavailable, Event::UpstreamUnavailable, "no connection to the upstream could be opened", retryAfterS);
+    }
+    if (result.error == Errc::Timeout) {
+        return {504, Event::DeadlineExceeded, Outcome::MayHaveRun, "the upstream did not answer in time", 0};
+    }
+    return {502, Event::UpstreamAnswerBroken, Outcome::MayHaveRun, "the upstream's answer was not whole: " + result.error.message(), 0};
+}
+
+CallResult callResult(const HttpResult &result)
+{
+    if (result.error == Errc::Timeout) {
+        return CallResult::Timeout;
+    }
+    return result.error || result.response.status == statusServiceUnavailable ? CallResult::Overloaded : CallResult::Ok;
+}
+}
+
+UpstreamGate::UpstreamGate(EventLoop &loop, HttpClient &client, EventLog &log, Metrics &metrics, ControlPlane &plane, RunningCalls &calls)
+    : m_loop(loop)
+    , m_client(client)
+    , m_log(log)
+    , m_metrics(metrics)
+    , m_plane(plane)
+    , m_running(calls)
+{
+}
+
+void UpstreamGate::start()
+{
+    m_loop.every(admissionTickMs, [this] {
+        if (m_admission.queued() > 0) {
+            carryOut(m_admission.tick(m_loop.clock().preciseMs()));
+        }
+    });
+    m_loop.every(watchPeriodMs, [this] {
+        watchUpstream();
+        m_dispatched.expire(m_loop.clock().now());
+    });
+}
+
+bool UpstreamGate::takeAnnouncement(const std::string &body, UpstreamAnnouncement &announcement) const
+{
+    Json::Value value;
+    std::string state;
+    if (!parseJson(body, value)) {
+        return false;
+    }
+    JsonReader reader(value);
+    reader.read("service", announcement.service).read("port", announcement.port).read("slots", announcement.slots);
+    reader.read("connections", announcement.connections).read("state", state);
+    announcement.draining = state == "draining";
+    return reader.ok() && (state == "up" || announcement.draining) && announcement.port > 0 && announcement.port < 65536 && announcement.slots > 0
+        && announcement.connections > 0;
+}
+
+HttpResponse UpstreamGate::announce(const HttpRequest &request)
+{
+    UpstreamAnnouncement announcement;
+    if (!takeAnnouncement(request.body, announcement)) {
+        m_log.write(Event::MalformedRequest, {{"path", request.path}});
+        return toResponse(notRun(400, Event::MalformedRequest, "expected service, port, slots, connections and state up or draining"));
+    }
+    m_upstreamIp = request.remoteAddress;
+    m_heardAt = m_loop.clock().now();
+    if (announcement != m_upstream) {
+        setUpstream(announcement);
+    }
+    return {204, {}, {}};
+}
+
+void UpstreamGate::setUpstream(const std::optional<UpstreamAnnouncement> &upstream)
+{
+    const bool isUp = upstream && !upstream->draining;
+    m_upstream = upstream;
+    m_plane.setUpstream(upstream);
+    const Event event = !upstream ? Event::UpstreamSilent : upstream->draining ? Event::UpstreamDraining : Event::UpstreamAnnounced;
+    m_log.write(event, {{"service", upstream ? upstream->service : std::string()}});
+    if (isUp) {
+        m_admission.announce(upstream->slots, upstream->connections);
+    }
+    if (isUp && !m_draining) {
+        m_admission.resume();
+        stateChanged();
+    } else {
+        carryOut(m_admission.drain(m_loop.clock().preciseMs()));
+    }
+}
+
+void UpstreamGate::watchUpstream()
+{
+    if (m_upstream && m_loop.clock().now() - m_heardAt > upstreamSilentMs) {
+        setUpstream(std::nullopt);
+    }
+}
+
+void UpstreamGate::stateChanged()
+{
+    for (const TeamSpec &team : m_plane.state().manifest()->teams) {
+        m_admission.setWeight(team.name, team.weight);
+    }
+}
+
+void UpstreamGate::drain()
+{
+    m_draining = true;
+    carryOut(m_admission.drain(m_loop.clock().preciseMs()));
+}
+
+LoadReport UpstreamGate::load() const
+{
+    return {m_loop.clock().now(), static_cast<int>(m_admission.queued()), m_admission.inFlight(), m_admission.limit()};
+}
+
+std::uint64_t UpstreamGate::offer(const CallMeta &meta, HttpHeaders headers, std::string body, CallCallback done)
+{
+    const std::uint64_t id = ++m_lastId;
+    const double now = m_loop.clock().preciseMs();
+    const TimeMs deadline = m_loop.clock().now() + meta.remainingMs;
+    m_calls.emplace(id, Call{meta, std::move(headers), std::move(body), std::move(done), deadline, 0, 0, nullptr});
+    if (!m_upstream || m_upstream->service != meta.service) {
+        refuse(id, notRun(statusServiceUnavailable, Event::UpstreamUnavailable, "no upstream of the service is on this host", retryAfterS));
+        return id;
+    }
+    QueuedRequest request;
+    request.id = id;
+    request.priority = meta.priority;
+    request.depth = meta.depth;
+    request.team = meta.team;
+    request.deadlineMs = now + static_cast<double>(meta.remainingMs);
+    carryOut(m_admission.offer(std::move(request), now));
+    return id;
+}
+
+void UpstreamGate::cancel(std::uint64_t id)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end()) {
+        return;
+    }
+    m_log.write(Event::CallCancelled, {{"request", found->second.meta.requestId}});
+    m_metrics.count("yuccagrade_calls_cancelled_total");
+    if (!found->second.running) {
+        m_admission.cancel(id);
+        m_calls.erase(found);
+        return;
+    }
+    m_client.cancel(found->second.http);
+    found->second.done = nullptr;
+    complete(id, {}, CallResult::Cancelled);
+}
+
+void UpstreamGate::carryOut(const AdmissionActions &actions)
+{
+    for (const AdmissionAction &action : actions) {
+        m_metrics.sample("yuccagrade_queue_ms", action.waitedMs);
+        if (action.start) {
+            startCall(action.id);
+        } else {
+            refuse(action.id, refusal(action.reason));
+        }
+    }
+}
+
+Problem UpstreamGate::refusal(RefusalReason reason) const
+{
+    switch (reason) {
+    case RefusalReason::Draining:
+        return notRun(statusServiceUnavailable, Event::RequestRefusedDraining, "the upstream takes no new work", retryAfterS);
+    case RefusalReason::DeadlineExceeded:
+        return notRun(504, Event::DeadlineExceeded, "the time ran out before the upstream could start", 0);
+    default:
+        return notRun(statusServiceUnavailable, Event::RequestShed, "the upstream is at its limit", retryAfterS);
+    }
+}
+
+// A withdrawn key must not start work that was queued before the withdrawal.
+std::optional<Problem> UpstreamGate::recheck(const CallMeta &meta) const
+{
+    if (meta.keyId.empty()) {
+        return std::nullopt;
+    }
+    const RouteSpec *route = m_plane.state().manifest()->route(meta.route);
+    if (!m_plane.isFresh() && !(route && route->isolatedServe)) {
+        return notRun(statusServiceUnavailable, Event::RequestRefusedIsolated, "the node cannot confirm that the key is valid", retryAfterS);
+    }
+    if (m_plane.state().teamOfKeyId(meta.keyId) != meta.team) {
+        return notRun(401, Event::KeyUnknown, "the key is unknown or withdrawn");
+    }
+    return std::nullopt;
+}
+
+std::optional<Problem> UpstreamGate::recordAction(const CallMeta &meta)
+{
+    if (meta.actionHash.empty()) {
+        return std::nullopt;
+    }
+    Id128 action;
+    Id128 token;
+    if (!Id128::fromText(meta.actionHash, action) || !Id128::fromText(meta.actionToken, token)) {
+        return notRun(400, Event::MalformedRequest, "malformed action");
+    }
+    if (!m_dispatched.add(action, token, m_loop.clock().now())) {
+        return Problem{409, Event::ActionAlreadyClaimed, Outcome::MayHaveRun, "the action was already handed to the upstream", 0};
+    }
+    return std::nullopt;
+}
+
+// The call has a slot: checks again what may have changed while it waited, then sends it.
+void UpstreamGate::startCall(std::uint64_t id)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end()) {
+        return;
+    }
+    Call &call = found->second;
+    auto problem = recheck(call.meta);
+    problem = problem ? problem : recordAction(call.meta);
+    if (problem) {
+        CallOutcome outcome;
+        outcome.problem = problem;
+        complete(id, std::move(outcome), CallResult::Cancelled);
+        return;
+    }
+    sendToUpstream(id, call);
+}
+
+void UpstreamGate::sendToUpstream(std::uint64_t id, Call &call)
+{
+    const TimeMs remaining = std::max<TimeMs>(1, call.deadline - m_loop.clock().now());
+    call.startedMs = m_loop.clock().preciseMs();
+    call.running = m_running.begin(call.meta, call.deadline);
+    HttpCall http;
+    http.method = call.meta.method;
+    http.address = m_upstreamIp + ':' + std::to_string(m_upstream ? m_upstream->port : 0);
+    http.target = call.meta.target;
+    http.headers = std::move(call.headers);
+    http.headers[Headers::context] = call.running->contextId;
+    http.headers[Headers::timeoutMs] = std::to_string(remaining);
+    http.body = std::move(call.body);
+    http.timeoutMs = remaining;
+    http.freshConnection = !call.meta.actionHash.empty();
+    m_log.write(Event::CallForwarded, {{"request", call.meta.requestId}, {"to", http.address}});
+    call.http = m_client.send(std::move(http), [this, id](const HttpResult &result) {
+        finish(id, result);
+    });
+}
+
+void UpstreamGate::finish(std::uint64_t id, const HttpResult &result)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end()) {
+        return;
+    }
+    const CallMeta &meta = found->second.meta;
+    CallOutcome outcome;
+    if (result.error) {
+        outcome.problem = problemOf(result);
+        m_log.write(outcome.problem->event, {{"request", meta.requestId}, {"team", meta.team}, {"reason", result.error.message()}});
+    } else {
+        outcome.response = result.response;
+        outcome.response.headers = forwardedResponseHeaders(result.response.headers);
+    }
+    Id128 action;
+    Id128 token;
+    if (!result.bytesSent && Id128::fromText(meta.actionHash, action) && Id128::fromText(meta.actionToken, token)) {
+        m_dispatched.notRun(action, token, m_loop.clock().now());
+    }
+    complete(id, std::move(outcome), callResult(result));
+}
+
+// Ends a call that held a slot, frees the slot and starts what waits for it.
+void UpstreamGate::complete(std::uint64_t id, CallOutcome outcome, CallResult result)
+{
+    const auto found = m_calls.find(id);
+    Call call = std::move(found->second);
+    m_calls.erase(found);
+    const double now = m_loop.clock().preciseMs();
+    const double latency = call.startedMs > 0 ? now - call.startedMs : 0;
+    outcome.unusedRetries = call.running ? call.running->budget.left() : call.meta.retries;
+    if (call.running) {
+        m_running.end(*call.running);
+        m_metrics.sample("yuccagrade_upstream_ms", latency);
+    }
+    const AdmissionActions next = m_admission.finished(result, latency, now);
+    outcome.load = load();
+    if (call.done) {
+        call.done(std::move(outcome));
+    }
+    carryOut(next);
+}
+
+void UpstreamGate::refuse(std::uint64_t id, const Problem &problem)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end()) {
+        return;
+    }
+    const Call call = std::move(found->second);
+    m_calls.erase(found);
+    m_metrics.count("yuccagrade_refused_total", "reason=\"" + std::string(eventInfo(problem.event).name) + '"');
+    m_log.write(problem.event, {{"request", call.meta.requestId}, {"team", call.meta.team}, {"route", call.meta.route}});
+    CallOutcome outcome;
+    outcome.problem = problem;
+    outcome.unusedRetries = call.meta.retries;
+    outcome.load = load();
+    call.done(std::move(outcome));
+}
+}
--- a/packages/protocol/commands.cpp
+++ b/packages/protocol/commands.cpp
@@ -75,18 +75,21 @@
     return JsonReader(value).read("submission", command.submission).read("keyId", command.keyId).ok();
 }
 
-Json::Value ClaimReplica::toJson() const
+Json::Value ClaimReplicaSpec::toJson() const
 {
     Json::Value value;
     value["id"] = id;
     value["domain"] = domain;
     value["address"] = address;
+    value["incarnation"] = Json::UInt64{incarnation};
     return value;
 }
 
-bool ClaimReplica::fromJson(const Json::Value &value, ClaimReplica &replica)
+bool ClaimReplicaSpec::fromJson(const Json::Value &value, ClaimReplicaSpec &replica)
 {
-    return JsonReader(value).read("id", replica.id).read("domain", replica.domain).read("address", replica.address).ok();
+    JsonReader reader(value);
+    reader.read("id", replica.id).read("domain", replica.domain).read("address", replica.address);
+    return reader.read("incarnation", replica.incarnation).ok();
 }
 
 Json::Value SetClaimGroup::toJson() const
--- a/packages/protocol/commands.h
+++ b/packages/protocol/commands.h
@@ -39,21 +39,22 @@
 };
 
 /// A node that keeps claims of a claim group.
-struct ClaimReplica {
+struct ClaimReplicaSpec {
     std::string id; ///< node id
     std::string domain;
     std::string address; ///< peer address
+    std::uint64_t incarnation = 0; ///< a later incarnation has lost its claims and must recover them
 
-    bool operator==(const ClaimReplica &) const = default;
+    bool operator==(const ClaimReplicaSpec &) const = default;
     Json::Value toJson() const;
-    static bool fromJson(const Json::Value &value, ClaimReplica &replica);
+    static bool fromJson(const Json::Value &value, ClaimReplicaSpec &replica);
 };
 
 /// Replaces the replicas of a claim group. Applied only if @c epoch is the current epoch plus 1 (the first epoch is 1).
 struct SetClaimGroup {
     int number = 0; ///< from 0
     std::uint64_t epoch = 0;
-    std::vector<ClaimReplica> replicas;
+    std::vector<ClaimReplicaSpec> replicas;
 
     Json::Value toJson() const;
     static bool fromJson(const Json::Value &value, SetClaimGroup &command);
