--- a/packages/consensus/raftcore.cpp
+++ b/packages/consensus/raftcore.cpp
@@ -36,7 +36,7 @@
     } else if (now >= m_electionDueMs) {
         resetElectionTimer(now);
         m_leader.clear();
-        if (isVoter()) {
+        if (mayCampaign()) {
             campaign(true, now);
         }
     }
@@ -92,13 +92,28 @@
             m_out.requests.push_back({member.id, member.address, request});
         }
     }
-    m_votes.insert(m_identity.id);
+    if (isVoter()) {
+        m_votes.insert(m_identity.id);
+    }
     countVotes(now);
 }
 
+// A host that an uncommitted entry removes may hold the longest log, and then no other host could win an election.
+bool RaftCore::mayCampaign() const
+{
+    const std::uint64_t changed = m_log.membersIndex();
+    if (isVoter() || changed <= m_commit) {
+        return isVoter();
+    }
+    const std::vector<GroupMember> former = m_log.membersAt(changed - 1);
+    const GroupMember *self = findMember(former, m_identity.id);
+    return self && self->voter && self->diskId == m_identity.diskId;
+}
+
 void RaftCore::countVotes(TimeMs now)
 {
-    if (m_votes.size() < majority(m_log.members())) {
+    const std::size_t needed = majority(m_log.members());
+    if (needed == 0 || m_votes.size() < needed) {
         return;
     }
     if (m_role == Role::PreCandidate) {
--- a/packages/consensus/raftcore.h
+++ b/packages/consensus/raftcore.h
@@ -80,9 +80,10 @@
 
     RaftResult<Proposal> propose(const Json::Value &command, TimeMs now);
     /// Adds a host as a learner, which becomes a voter when it has caught up. Also admits a member with a new disk.
-    /// Errors: NotLeader, Unavailable (a change is pending or the host has not reported its disk), Conflict.
+    /// Errors: NotLeader, Unavailable (a change is pending, the host has not reported its disk, or the new group has no
+    /// reachable majority), Conflict (already a member with this disk).
     RaftResult<Proposal> addMember(const std::string &id, const std::string &address, TimeMs now);
-    /// Errors: NotLeader, Unavailable (a change is pending), NotFound, Conflict (the last voter).
+    /// Errors: NotLeader, Unavailable (as above), NotFound, Conflict (the last voter).
     RaftResult<Proposal> removeMember(const std::string &id, TimeMs now);
     /// Stores @p state, the owner's state after the last committed entry handed out, and drops the entries up to it.
     RaftActions compact(const std::string &state);
@@ -122,6 +123,7 @@
     void setHard(std::uint64_t term, const std::string &vote);
     void resetElectionTimer(TimeMs now);
     void campaign(bool preVote, TimeMs now);
+    bool mayCampaign() const;
     void countVotes(TimeMs now);
     bool mayGrant(const VoteRequest &request) const;
     bool acceptLeader(std::uint64_t term, const std::string &leader, TimeMs now);
@@ -140,6 +142,7 @@
     TimeMs majorityContactMs(TimeMs now) const;
     void promoteLearner(TimeMs now);
     RaftResult<Proposal> changeGroup(const std::vector<GroupMember> &members, TimeMs now);
+    bool hasLiveMajority(const std::vector<GroupMember> &members, TimeMs now) const;
     bool mayChangeGroup() const;
 
     bool isFounder() const;
--- a/packages/consensus/raftleader.cpp
+++ b/packages/consensus/raftleader.cpp
@@ -218,8 +218,22 @@
     return isReady() && m_log.membersIndex() <= m_commit;
 }
 
+// A group without a reachable majority could never commit its own entry, and its leader could not take the change back.
+bool RaftCore::hasLiveMajority(const std::vector<GroupMember> &members, TimeMs now) const
+{
+    std::size_t live = 0;
+    for (const GroupMember &member : members) {
+        const bool self = member.id == m_identity.id;
+        live += countsAsVoter(member) && (self || now - m_progress.at(member.id).answeredSentMs < m_options.electionMinMs) ? 1 : 0;
+    }
+    return live >= majority(members);
+}
+
 RaftResult<Proposal> RaftCore::changeGroup(const std::vector<GroupMember> &members, TimeMs now)
 {
+    if (!hasLiveMajority(members, now)) {
+        return rejected(Errc::Unavailable);
+    }
     const std::uint64_t index = appendOwn(EntryKind::Members, toJsonList(members));
     leaderCommit();
     if (m_role == Role::Leader) {
@@ -265,9 +279,11 @@
         return rejected(Errc::Unavailable);
     }
     std::vector<GroupMember> members = m_log.members();
-    if (std::erase_if(members, [&id](const GroupMember &member) {
-            return member.id == id;
-        }) == 0) {
+    if (std::erase_if(members,
+                      [&id](const GroupMember &member) {
+                          return member.id == id;
+                      })
+        == 0) {
         return rejected(Errc::NotFound);
     }
     if (majority(members) == 0) {
--- a/packages/consensus/replica.cpp
+++ b/packages/consensus/replica.cpp
@@ -99,7 +99,8 @@
 }
 
 template<typename Response>
-std::error_code Replica::take(const std::string &peer, const Json::Value &result, RaftActions (RaftCore::*handler)(const std::string &, const Response &, TimeMs))
+std::error_code
+Replica::take(const std::string &peer, const Json::Value &result, RaftActions (RaftCore::*handler)(const std::string &, const Response &, TimeMs))
 {
     Response response;
     if (!Response::fromJson(result, response)) {
--- a/packages/consensus/storage.cpp
+++ b/packages/consensus/storage.cpp
@@ -48,8 +48,7 @@
 {
     Json::Value json;
     std::vector<LogEntry> entries;
-    return parseJson(payload, json)
-        && JsonReader(json).read("term", state.hard.term).read("vote", state.hard.vote).readList("entries", entries).ok()
+    return parseJson(payload, json) && JsonReader(json).read("term", state.hard.term).read("vote", state.hard.vote).readList("entries", entries).ok()
         && applyEntries(state.entries, std::move(entries));
 }
 
@@ -193,8 +192,8 @@
     }
     const RecordScan scan = scanRecords(content);
     Json::Value json;
-    const bool ok = scan.payloads.size() == 1 && scan.validBytes == content.size() && parseJson(scan.payloads.front(), json)
-        && RaftSnapshot::fromJson(json, snapshot);
+    const bool ok =
+        scan.payloads.size() == 1 && scan.validBytes == content.size() && parseJson(scan.payloads.front(), json) && RaftSnapshot::fromJson(json, snapshot);
     return ok ? std::error_code() : Errc::StorageDamaged;
 }
 
--- a/tests/consensus/raftsimtest.cpp
+++ b/tests/consensus/raftsimtest.cpp
@@ -1,5 +1,5 @@
 #include <boost/test/unit_test.hpp>
-#include <rapidcheck/boost_test.h>
+#include <rapidcheck.h>
 
 #include "simcluster.h"
 
@@ -8,8 +8,10 @@
 
 namespace
 {
-void runChaos(int hosts, std::uint64_t seed, const SimFaults &faults)
+void runChaos(int hosts, const SimFaults &faults)
 {
+    // A fixed range, since the numbers of arbitrary() are small and repeat in the first cases.
+    const auto seed = *rc::gen::inRange<std::uint64_t>(0, 1000000000);
     SimCluster cluster(hosts, seed);
     RC_ASSERT(cluster.runUntil(
         [&cluster] {
@@ -35,21 +37,21 @@
 // and a group that does not recover, under all faults of the simulation.
 BOOST_AUTO_TEST_CASE(threeHostsSurviveFaults, *utf::label("property"))
 {
-    BOOST_TEST(rc::check([](std::uint64_t seed) {
-        runChaos(3, seed, mild);
+    BOOST_TEST(rc::check([] {
+        runChaos(3, mild);
     }));
-    BOOST_TEST(rc::check([](std::uint64_t seed) {
-        runChaos(3, seed, severe);
+    BOOST_TEST(rc::check([] {
+        runChaos(3, severe);
     }));
 }
 
 // As above; five hosts add member removal and two failures at once.
 BOOST_AUTO_TEST_CASE(fiveHostsSurviveFaults, *utf::label("property"))
 {
-    BOOST_TEST(rc::check([](std::uint64_t seed) {
-        runChaos(5, seed, mild);
+    BOOST_TEST(rc::check([] {
+        runChaos(5, mild);
     }));
-    BOOST_TEST(rc::check([](std::uint64_t seed) {
-        runChaos(5, seed, severe);
+    BOOST_TEST(rc::check([] {
+        runChaos(5, severe);
     }));
 }
--- a/tests/consensus/simcluster.cpp
+++ b/tests/consensus/simcluster.cpp
@@ -67,7 +67,7 @@
     checkLeaders();
 }
 
-void SimCluster::send(Message message)
+void SimCluster::send(const Message &message)
 {
     const int copies = m_random.fraction() < faults.duplicate ? 2 : 1;
     for (int i = 0; i < copies; ++i) {
@@ -274,12 +274,14 @@
 
 bool SimCluster::hasMajority(const std::vector<GroupMember> &members, int without) const
 {
-    std::size_t intact = 0;
+    std::size_t intactVoters = 0;
+    std::size_t intactMembers = 0; // learners too, as the leader may be making them voters
     for (const GroupMember &member : members) {
         const int index = indexOf(member.id);
-        intact += member.voter && index != without && m_hosts[index].diskId == member.diskId ? 1 : 0;
+        intactVoters += member.voter && index != without && m_hosts[index].diskId == member.diskId ? 1 : 0;
+        intactMembers += index != without && (!member.voter || m_hosts[index].diskId == member.diskId) ? 1 : 0;
     }
-    return intact >= majority(members);
+    return intactVoters >= majority(members) && (members.empty() || intactMembers > members.size() / 2);
 }
 
 // The protocol promises to go on only while a majority of every group that is in use has its disks.
@@ -315,7 +317,7 @@
         break;
     case 5: {
         const int at = leader();
-        if (at >= 0 && majority(core(at).log().members()) > 2) {
+        if (at >= 0 && majority(core(at).log().members()) > 2 && mayLoseDisk(host)) {
             perform(at, core(at).removeMember(m_hosts[host].id, m_now).actions);
         }
         break;
--- a/tests/consensus/simcluster.h
+++ b/tests/consensus/simcluster.h
@@ -76,7 +76,7 @@
 
     int indexOf(const std::string &id) const;
     void step();
-    void send(Message message);
+    void send(const Message &message);
     void deliver(const Message &message);
     void serve(const Message &message, const RaftRequest &request);
     void take(const Message &message, const Response &response);
