--- /dev/null
+++ b/packages/policy/priority.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <string_view>
+
+namespace Yuccagrade
+{
+/// Priority classes, most important first.
+enum class Priority {
+    Critical, ///< status reads, bookings, activations
+    Normal, ///< listings, uploads
+    Bulk,
+};
+inline constexpr std::size_t priorityCount = 3;
+inline constexpr std::array<std::string_view, priorityCount> priorityNames{"critical", "normal", "bulk"};
+}
--- a/tests/claims/simulation.cpp
+++ b/tests/claims/simulation.cpp
@@ -84,7 +84,7 @@
     const int copies = m_random.fraction() < m_faults.duplicate ? 2 : 1;
     for (int i = 0; i < copies; ++i) {
         const bool slow = m_random.fraction() < m_faults.slow;
-        at(static_cast<TimeMs>(m_random.below(slow ? 12'000 : 50)), delivery);
+        at(static_cast<TimeMs>(m_random.below(slow ? 30'000 : 50)), delivery);
     }
 }
 
@@ -145,7 +145,7 @@
 void ClaimSimulation::beginClaim(Id128 action, Id128 token, std::int64_t epoch)
 {
     const double rate = 0.95 + 0.1 * m_random.fraction();
-    const auto claimer = std::make_shared<ClaimCoordinator>(ClaimRequest{0, epoch, action, token}, local(rate), 20'000);
+    const auto claimer = std::make_shared<ClaimCoordinator>(ClaimRequest{0, epoch, action, token}, local(rate), 40'000);
     const std::vector<int> hosts = members(epoch);
     for (int i = 0; i < 3; ++i) {
         const int host = hosts[static_cast<std::size_t>(i)];
@@ -163,7 +163,7 @@
             }
         });
     }
-    at(20'000, [this, claimer, rate] {
+    at(40'000, [this, claimer, rate] {
         act(claimer, claimer->tick(local(rate) + 2'000), rate);
     });
 }
@@ -184,7 +184,7 @@
         }
     } else if (action == ClaimAction::Proceed) {
         const bool frozen = m_random.fraction() < m_faults.freeze;
-        at(frozen ? static_cast<TimeMs>(m_random.below(15'000)) : 0, [this, claimer, rate] {
+        at(frozen ? static_cast<TimeMs>(m_random.below(30'000)) : 0, [this, claimer, rate] {
             dispatch(claimer, rate);
         });
     }
--- a/tests/claims/simulation.h
+++ b/tests/claims/simulation.h
@@ -18,8 +18,8 @@
     struct Faults {
         double loss = 0.1;
         double duplicate = 0.1;
-        double slow = 0.1; ///< delay of up to 12 s instead of 50 ms
-        double freeze = 0.2; ///< a claimer freezes for up to 15 s between grant and dispatch
+        double slow = 0.1; ///< delay of up to 30 s instead of 50 ms
+        double freeze = 0.2; ///< a claimer freezes for up to 30 s between grant and dispatch
         double restart = 0.04; ///< a replica restarts directly after a grant; half of them take another one along
         bool epochChange = true;
     };
