--- a/tests/config/configtest.cpp
+++ b/tests/config/configtest.cpp
@@ -192,6 +192,22 @@
     BOOST_TEST(findings.size() == 1U);
 }
 
+// Guards against an event that operators cannot look up, and against rows of events that no longer exist.
+BOOST_AUTO_TEST_CASE(eventPageMatchesTheCatalogue)
+{
+    const std::string page = readFile("docs/EVENTS.md");
+    std::size_t rows = 0;
+    for (std::size_t position = page.find("\n| "); position != std::string::npos; position = page.find("\n| ", position + 1)) {
+        rows += page[position + 3] >= '0' && page[position + 3] <= '9' ? 1 : 0;
+    }
+    BOOST_TEST(rows == eventCatalogue().size());
+    for (const EventInfo &info : eventCatalogue()) {
+        const std::string row = "\n| " + std::to_string(static_cast<int>(info.event)) + " | " + std::string(severityName(info.severity)) + " | `"
+            + std::string(info.name) + "` | " + std::string(info.text) + " |\n";
+        BOOST_TEST(page.find(row) != std::string::npos, "missing or different:" << row);
+    }
+}
+
 // Guards against a page that differs from what the program accepts.
 BOOST_AUTO_TEST_CASE(manifestPageMatchesTheTables)
 {
