--- a/packages/policy/priority.h
+++ b/packages/base/priority.h
@@ -14,4 +14,10 @@
 };
 inline constexpr std::size_t priorityCount = 3;
 inline constexpr std::array<std::string_view, priorityCount> priorityNames{"critical", "normal", "bulk"};
+
+/// Name of a priority class as used in the manifest.
+constexpr std::string_view priorityName(Priority priority)
+{
+    return priorityNames[static_cast<std::size_t>(priority)];
+}
 }
--- a/packages/config/manifest.h
+++ b/packages/config/manifest.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/finding.h"
+#include "base/priority.h"
 #include "config/optiontable.h"
 
 #include <cstdint>
@@ -11,10 +12,6 @@
 
 namespace Yuccagrade
 {
-/// Priority class of a route, most important first.
-enum class Priority { Critical, Normal, Bulk };
-constexpr int priorityCount = 3;
-std::string_view priorityName(Priority priority);
 
 /// A failure domain.
 struct DomainSpec {
--- a/packages/node/callmeta.cpp
+++ b/packages/node/callmeta.cpp
@@ -32,7 +32,7 @@
     reader.read("service", meta.service).read("team", meta.team).read("key", meta.keyId).read("action", meta.actionHash);
     reader.read("token", meta.actionToken).read("remainingMs", meta.remainingMs).read("retries", meta.retries);
     reader.read("depth", meta.depth).read("priority", priority);
-    if (!reader.ok() || priority < 0 || priority >= priorityCount || meta.retries < 0 || meta.depth < 0) {
+    if (!reader.ok() || priority < 0 || priority >= static_cast<int>(priorityCount) || meta.retries < 0 || meta.depth < 0) {
         return false;
     }
     meta.priority = static_cast<Priority>(priority);
--- a/packages/policy/entrythrottle.h
+++ b/packages/policy/entrythrottle.h
@@ -2,7 +2,7 @@
 
 #include "base/clock.h"
 #include "base/random.h"
-#include "priority.h"
+#include "base/priority.h"
 
 namespace Yuccagrade
 {
--- a/packages/policy/fairqueue.h
+++ b/packages/policy/fairqueue.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "priority.h"
+#include "base/priority.h"
 
 #include <array>
 #include <cstdint>
