Add test doubles: process starter, fault proxy, upstream, load generator

Cause: the integration tests need programs under test that can be killed, frozen and cut off, and stand-ins for upstreams and callers. Change: tests/support with the library yg_testsupport, the programs testupstream and testload, and self-tests in test_support (label unit).

--- /dev/null
+++ b/tests/support/upstream.cpp
@@ -0,0 +1,599 @@
+#include "support/upstream.h"
+#include "base/random.h"
+#include "support/address.h"
+#include "support/transfer.h"
+#include "support/wait.h"
+
+#include <microhttpd.h>
+#include <sys/epoll.h>
+#include <sys/timerfd.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+#include <cctype>
+#include <cmath>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <set>
+#include <stdexcept>
+#include <thread>
+
+namespace Yuccagrade::Test
+{
+namespace
+{
+constexpr double announceMs = 1000;
+
+enum class Broken { None, Short, Middle, NoAnswer, Foreign };
+
+struct Faults {
+    double slow = 1;
+    bool shed = false;
+    Broken broken = Broken::None;
+    double lateMs = 0;
+    double coldMs = 0;
+    double coldSinceMs = 0;
+    bool draining = false;
+    bool announce = true;
+};
+
+/// One received call. The daemon's thread owns it, except between suspension and resumption of its connection.
+struct Call {
+    MHD_Connection *connection;
+    int socket;
+    std::string method;
+    std::string path;
+    std::map<std::string, std::string> headers = {};
+    std::string body = {};
+    Json::Value nested = Json::arrayValue;
+    std::unique_ptr<Transfer> transfer = {};
+    bool holdsSlot = false;
+    bool done = false;
+    unsigned status = 200;
+    std::string answer = {};
+    Broken broken = Broken::None;
+};
+
+std::string lower(std::string text)
+{
+    std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) {
+        return static_cast<char>(std::tolower(c));
+    });
+    return text;
+}
+
+MHD_Result addHeader(void *call, MHD_ValueKind, const char *name, const char *value)
+{
+    static_cast<Call *>(call)->headers[lower(name)] = value ? value : "";
+    return MHD_YES;
+}
+
+bool leaksKey(const Call &call)
+{
+    std::string all = call.path + call.body;
+    for (const auto &[name, value] : call.headers) {
+        all.append("\n").append(name).append(":").append(value);
+    }
+    return call.headers.count("authorization") > 0 || all.find("ygk_") != std::string::npos;
+}
+
+std::string jsonText(const Json::Value &value)
+{
+    Json::StreamWriterBuilder writer;
+    writer["indentation"] = "";
+    return Json::writeString(writer, value);
+}
+
+Json::Value parsed(const std::string &text)
+{
+    Json::Value value;
+    std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
+    return reader->parse(text.data(), text.data() + text.size(), &value, nullptr) ? value : Json::Value(text);
+}
+
+struct PartialBody {
+    std::string bytes;
+};
+
+ssize_t readPartial(void *self, uint64_t position, char *buffer, size_t size)
+{
+    const std::string &bytes = static_cast<PartialBody *>(self)->bytes;
+    if (position >= bytes.size()) {
+        return MHD_CONTENT_READER_END_WITH_ERROR;
+    }
+    const size_t count = std::min(size, bytes.size() - static_cast<size_t>(position));
+    bytes.copy(buffer, count, position);
+    return static_cast<ssize_t>(count);
+}
+
+void freePartial(void *self)
+{
+    delete static_cast<PartialBody *>(self);
+}
+
+/// Announces more bytes than follow; the daemon then closes the connection.
+MHD_Response *partialResponse(const std::string &sent, size_t announced)
+{
+    return MHD_create_response_from_callback(announced, 1024, readPartial, new PartialBody{sent}, freePartial);
+}
+
+MHD_Result reply(MHD_Connection *connection, unsigned status, const std::string &text, Broken broken)
+{
+    if (broken == Broken::NoAnswer) {
+        return MHD_NO;
+    }
+    MHD_Response *response = nullptr;
+    if (broken == Broken::Short) {
+        response = partialResponse(text, text.size() + 100);
+    } else if (broken == Broken::Middle) {
+        response = partialResponse(text.substr(0, text.size() / 2), text.size());
+    } else {
+        response = MHD_create_response_from_buffer(text.size(), const_cast<char *>(text.data()), MHD_RESPMEM_MUST_COPY);
+    }
+    MHD_add_response_header(response, "Content-Type", "application/json");
+    const MHD_Result result = MHD_queue_response(connection, status, response);
+    MHD_destroy_response(response);
+    return result;
+}
+}
+
+struct Upstream::Impl {
+    UpstreamOptions options;
+    MHD_Daemon *daemon = nullptr;
+    std::string address;
+    mutable std::mutex mutex; ///< guards all members; the worker thread releases it while it polls
+    std::deque<Call *> inbox;
+    Faults faults;
+    Json::Value stats;
+    double lastReceivedMs = steadyMs();
+    bool closing = false;
+    std::atomic<bool> stopping = false;
+    CURLM *multi = curl_multi_init();
+    int epollFd = epoll_create1(EPOLL_CLOEXEC);
+    int timerFd = timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
+    std::deque<Call *> waiting;
+    std::set<Call *> active;
+    std::multimap<double, Call *> timers; ///< end of work or of a late answer; without call: next announcement
+    Transfer announcement;
+    bool announcing = false;
+    int running = 0;
+    Random random{1};
+    std::thread worker;
+
+    static MHD_Result
+    onRequest(void *self, MHD_Connection *connection, const char *url, const char *method, const char *, const char *data, size_t *size, void **state);
+    static void onCompleted(void *, MHD_Connection *, void **state, MHD_RequestTerminationCode);
+    MHD_Result control(Call &call);
+    void setFaults(MHD_Connection *connection);
+    MHD_Result submit(Call *call);
+    void receive();
+    void startWaiting();
+    void startWork(Call *call);
+    double workMs();
+    void onTimer(Call *call);
+    void startNested(Call *call);
+    void onTransferDone(Transfer *transfer, CURLcode error);
+    void endWork(Call *call);
+    void finish(Call *call);
+    void forget(Call *call);
+    void cancel(Call *call);
+    void onEpoll();
+    void announce();
+    void armTimer() const;
+    void run();
+    Json::Value currentStats() const;
+    void count(const char *name, int amount = 1)
+    {
+        stats[name] = stats[name].asInt() + amount;
+    }
+    void raise(const char *name, size_t value)
+    {
+        stats[name] = std::max(stats[name].asInt(), static_cast<int>(value));
+    }
+};
+
+MHD_Result Upstream::Impl::onRequest(void *self,
+                                     MHD_Connection *connection,
+                                     const char *url,
+                                     const char *method,
+                                     const char *,
+                                     const char *data,
+                                     size_t *size,
+                                     void **state)
+{
+    auto *impl = static_cast<Impl *>(self);
+    auto *call = static_cast<Call *>(*state);
+    if (!call) {
+        const int fd = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+        call = new Call{connection, fd, method, url};
+        MHD_get_connection_values(connection, MHD_HEADER_KIND, addHeader, call);
+        *state = call;
+        return MHD_YES;
+    }
+    if (*size > 0) {
+        call->body.append(data, *size);
+        *size = 0;
+        return MHD_YES;
+    }
+    if (call->done) {
+        return reply(connection, call->status, call->answer, call->broken);
+    }
+    return call->path.rfind("/control", 0) == 0 ? impl->control(*call) : impl->submit(call);
+}
+
+void Upstream::Impl::onCompleted(void *, MHD_Connection *, void **state, MHD_RequestTerminationCode)
+{
+    delete static_cast<Call *>(*state);
+    *state = nullptr;
+}
+
+MHD_Result Upstream::Impl::control(Call &call)
+{
+    const std::scoped_lock lock(mutex);
+    if (call.path == "/control") {
+        setFaults(call.connection);
+        curl_multi_wakeup(multi);
+    }
+    return reply(call.connection, 200, jsonText(currentStats()), Broken::None);
+}
+
+void Upstream::Impl::setFaults(MHD_Connection *connection)
+{
+    const auto value = [&](const char *name) -> const char * {
+        return MHD_lookup_connection_value(connection, MHD_GET_ARGUMENT_KIND, name);
+    };
+    const auto number = [&](const char *name, double current) {
+        return value(name) ? std::atof(value(name)) : current;
+    };
+    faults.slow = number("slow", faults.slow);
+    faults.shed = number("shed", faults.shed) != 0;
+    faults.lateMs = number("late", faults.lateMs);
+    faults.draining = number("drain", faults.draining) != 0;
+    faults.announce = number("announce", faults.announce) != 0;
+    if (value("cold")) {
+        faults.coldMs = number("cold", 0);
+        faults.coldSinceMs = steadyMs();
+    }
+    if (const char *kind = value("broken")) {
+        static const std::map<std::string, Broken> kinds{{"none", Broken::None},
+                                                         {"short", Broken::Short},
+                                                         {"middle", Broken::Middle},
+                                                         {"noanswer", Broken::NoAnswer},
+                                                         {"foreign", Broken::Foreign}};
+        const auto found = kinds.find(kind);
+        faults.broken = found == kinds.end() ? Broken::None : found->second;
+    }
+}
+
+MHD_Result Upstream::Impl::submit(Call *call)
+{
+    const std::scoped_lock lock(mutex);
+    count("received");
+    count("receivedDraining", faults.draining ? 1 : 0);
+    count("keyLeaks", leaksKey(*call) ? 1 : 0);
+    lastReceivedMs = steadyMs();
+    for (const auto &[name, value] : call->headers) {
+        Json::Value &seen = stats["headers"][name];
+        seen = seen.asInt() + 1;
+    }
+    if (faults.shed || closing) {
+        count("shed");
+        return reply(call->connection, 503, R"({"error":"shed"})", Broken::None);
+    }
+    MHD_suspend_connection(call->connection);
+    inbox.push_back(call);
+    curl_multi_wakeup(multi);
+    return MHD_YES;
+}
+
+void Upstream::Impl::receive()
+{
+    for (Call *call : inbox) {
+        epoll_event event{EPOLLRDHUP, {call}};
+        epoll_ctl(epollFd, EPOLL_CTL_ADD, call->socket, &event);
+        active.insert(call);
+        waiting.push_back(call);
+    }
+    inbox.clear();
+    raise("waitingMax", waiting.size());
+}
+
+void Upstream::Impl::startWaiting()
+{
+    while (running < options.slots && !waiting.empty()) {
+        Call *call = waiting.front();
+        waiting.pop_front();
+        startWork(call);
+    }
+}
+
+void Upstream::Impl::startWork(Call *call)
+{
+    ++running;
+    call->holdsSlot = true;
+    count("executed");
+    raise("concurrencyMax", static_cast<size_t>(running));
+    const auto key = call->headers.find("idempotency-key");
+    if (key != call->headers.end()) {
+        Json::Value &executions = stats["executions"][key->second];
+        executions = executions.asInt() + 1;
+    }
+    timers.emplace(steadyMs() + workMs(), call);
+}
+
+double Upstream::Impl::workMs()
+{
+    double factor = faults.slow;
+    const double coldForMs = steadyMs() - faults.coldSinceMs;
+    if (coldForMs < faults.coldMs) {
+        factor *= 5 - 4 * coldForMs / faults.coldMs;
+    }
+    const double draw = options.exponential ? -std::log(1 - random.fraction()) : 1;
+    return options.serviceMs * factor * draw;
+}
+
+/// Ends the work of a call that holds a slot, or the delay of a late answer.
+void Upstream::Impl::onTimer(Call *call)
+{
+    if (!call) {
+        announce();
+    } else if (!call->holdsSlot) {
+        finish(call);
+    } else if (options.nested.empty() || options.nodeAddress.empty()) {
+        endWork(call);
+    } else {
+        startNested(call);
+    }
+}
+
+void Upstream::Impl::startNested(Call *call)
+{
+    HttpRequest request{"POST", options.nodeAddress, options.nested[call->nested.size()], call->body};
+    request.sourceIp = ipOf(options.listenAddress);
+    for (const char *name : {"yuccagrade-context", "yuccagrade-timeout-ms", "idempotency-key"}) {
+        const auto found = call->headers.find(name);
+        if (found != call->headers.end()) {
+            request.headers.push_back(found->first + ": " + found->second);
+        }
+    }
+    request.timeoutMs = 60000;
+    request.freshConnection = call->headers.count("idempotency-key") > 0;
+    call->transfer = std::make_unique<Transfer>();
+    call->transfer->prepare(request);
+    curl_easy_setopt(call->transfer->handle(), CURLOPT_PRIVATE, call);
+    curl_multi_add_handle(multi, call->transfer->handle());
+}
+
+void Upstream::Impl::onTransferDone(Transfer *transfer, CURLcode error)
+{
+    if (transfer == &announcement) {
+        announcing = false;
+        count("announced", announcement.finish(error).status / 100 == 2 ? 1 : 0);
+        return;
+    }
+    Call *call = nullptr;
+    curl_easy_getinfo(transfer->handle(), CURLINFO_PRIVATE, &call);
+    const HttpAnswer &answer = transfer->finish(error);
+    if (answer.error != CURLE_OK || answer.status != 200) {
+        count("nestedFailed");
+        call->status = 500;
+        endWork(call);
+        return;
+    }
+    call->nested.append(parsed(answer.body));
+    if (call->nested.size() < options.nested.size()) {
+        startNested(call);
+    } else {
+        endWork(call);
+    }
+}
+
+void Upstream::Impl::endWork(Call *call)
+{
+    --running;
+    call->holdsSlot = false;
+    Json::Value answer;
+    answer["service"] = options.service;
+    answer["path"] = call->path;
+    answer["echo"] = faults.broken == Broken::Foreign ? "foreign" : call->body;
+    answer["nested"] = call->nested;
+    answer["complete"] = call->status == 200;
+    call->answer = jsonText(answer);
+    timers.emplace(steadyMs() + faults.lateMs, call);
+}
+
+/// Hands the call back to the daemon's thread, which sends the answer.
+void Upstream::Impl::finish(Call *call)
+{
+    forget(call);
+    call->broken = faults.broken;
+    call->done = true;
+    MHD_resume_connection(call->connection);
+}
+
+void Upstream::Impl::forget(Call *call)
+{
+    epoll_ctl(epollFd, EPOLL_CTL_DEL, call->socket, nullptr);
+    active.erase(call);
+    running -= call->holdsSlot ? 1 : 0;
+    call->holdsSlot = false;
+    waiting.erase(std::remove(waiting.begin(), waiting.end(), call), waiting.end());
+    std::erase_if(timers, [call](const auto &timer) {
+        return timer.second == call;
+    });
+    if (call->transfer) {
+        curl_multi_remove_handle(multi, call->transfer->handle());
+        call->transfer.reset();
+    }
+}
+
+/// The caller has closed the connection: the work stops and its slot is free.
+void Upstream::Impl::cancel(Call *call)
+{
+    count("cancelled");
+    finish(call);
+}
+
+void Upstream::Impl::onEpoll()
+{
+    epoll_event events[64];
+    const int count = epoll_wait(epollFd, events, 64, 0);
+    for (int i = 0; i < count; ++i) {
+        auto *call = static_cast<Call *>(events[i].data.ptr);
+        if (call && active.count(call) > 0) {
+            cancel(call);
+        }
+    }
+    std::uint64_t expirations = 0;
+    [[maybe_unused]] const ssize_t ignored = read(timerFd, &expirations, sizeof expirations);
+}
+
+void Upstream::Impl::announce()
+{
+    timers.emplace(steadyMs() + announceMs, nullptr);
+    if (!faults.announce || announcing) {
+        return;
+    }
+    Json::Value body;
+    body["service"] = options.service;
+    body["port"] = std::atoi(address.substr(address.find(':') + 1).c_str());
+    body["slots"] = options.slots;
+    body["connections"] = options.connections;
+    body["state"] = faults.draining ? "draining" : "up";
+    HttpRequest request{"POST", options.nodeAddress, "/yuccagrade/announce", jsonText(body), {"Content-Type: application/json"}};
+    request.sourceIp = ipOf(options.listenAddress);
+    request.timeoutMs = 900;
+    announcement.prepare(request);
+    announcing = curl_multi_add_handle(multi, announcement.handle()) == CURLM_OK;
+}
+
+void Upstream::Impl::armTimer() const
+{
+    if (timers.empty()) {
+        return;
+    }
+    // A value of 0 would disarm the timer.
+    const auto delayNs = static_cast<long long>(std::max(timers.begin()->first - steadyMs(), 0.001) * 1e6);
+    const itimerspec when{{0, 0}, {static_cast<time_t>(delayNs / 1000000000), static_cast<long>(delayNs % 1000000000)}};
+    timerfd_settime(timerFd, 0, &when, nullptr);
+}
+
+void Upstream::Impl::run()
+{
+    while (!stopping) {
+        std::unique_lock lock(mutex);
+        onEpoll();
+        receive();
+        startWaiting();
+        int stillRunning = 0;
+        curl_multi_perform(multi, &stillRunning);
+        while (const CURLMsg *message = curl_multi_info_read(multi, &stillRunning)) {
+            CURL *handle = message->easy_handle;
+            const CURLcode error = message->data.result;
+            curl_multi_remove_handle(multi, handle);
+            void *owner = nullptr;
+            curl_easy_getinfo(handle, CURLINFO_PRIVATE, &owner);
+            onTransferDone(owner == &announcement ? &announcement : static_cast<Call *>(owner)->transfer.get(), error);
+        }
+        while (!timers.empty() && timers.begin()->first <= steadyMs()) {
+            Call *call = timers.begin()->second;
+            timers.erase(timers.begin());
+            onTimer(call);
+        }
+        startWaiting();
+        armTimer();
+        lock.unlock();
+        curl_waitfd waitFd{epollFd, CURL_WAIT_POLLIN, 0};
+        curl_multi_poll(multi, &waitFd, 1, 1000, nullptr);
+    }
+}
+
+Json::Value Upstream::Impl::currentStats() const
+{
+    Json::Value result = stats;
+    result["msSinceReceived"] = steadyMs() - lastReceivedMs;
+    return result;
+}
+
+Upstream::Upstream(const UpstreamOptions &options)
+    : m_impl(std::make_unique<Impl>())
+{
+    Impl &impl = *m_impl;
+    impl.options = options;
+    impl.random = Random(options.seed);
+    for (const char *name :
+         {"received", "receivedDraining", "keyLeaks", "shed", "executed", "cancelled", "nestedFailed", "announced", "concurrencyMax", "waitingMax"}) {
+        impl.stats[name] = 0;
+    }
+    impl.stats["executions"] = Json::objectValue;
+    impl.stats["headers"] = Json::objectValue;
+    const sockaddr_in where = socketAddress(options.listenAddress);
+    // The control path needs connections even when the node uses all that are announced.
+    const auto limit = static_cast<unsigned>(options.connections + 16);
+    impl.daemon = MHD_start_daemon(MHD_USE_AUTO_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME,
+                                   0,
+                                   nullptr,
+                                   nullptr,
+                                   Impl::onRequest,
+                                   &impl,
+                                   MHD_OPTION_SOCK_ADDR,
+                                   &where,
+                                   MHD_OPTION_CONNECTION_LIMIT,
+                                   limit,
+                                   MHD_OPTION_NOTIFY_COMPLETED,
+                                   Impl::onCompleted,
+                                   nullptr,
+                                   MHD_OPTION_END);
+    if (!impl.daemon) {
+        throw std::runtime_error("cannot listen on " + options.listenAddress);
+    }
+    impl.address = ipOf(options.listenAddress) + ':' + std::to_string(MHD_get_daemon_info(impl.daemon, MHD_DAEMON_INFO_BIND_PORT)->port);
+    epoll_event event{EPOLLIN, {nullptr}};
+    epoll_ctl(impl.epollFd, EPOLL_CTL_ADD, impl.timerFd, &event);
+    if (!options.nodeAddress.empty()) {
+        impl.timers.emplace(0, nullptr);
+    }
+    impl.worker = std::thread([&impl] {
+        impl.run();
+    });
+}
+
+Upstream::~Upstream()
+{
+    Impl &impl = *m_impl;
+    impl.stopping = true;
+    curl_multi_wakeup(impl.multi);
+    impl.worker.join();
+    {
+        // A suspended connection would keep the daemon from stopping.
+        const std::scoped_lock lock(impl.mutex);
+        impl.closing = true;
+        impl.active.insert(impl.inbox.begin(), impl.inbox.end());
+        while (!impl.active.empty()) {
+            Call *call = *impl.active.begin();
+            call->status = 503;
+            impl.finish(call);
+        }
+    }
+    MHD_stop_daemon(impl.daemon);
+    if (impl.announcing) {
+        curl_multi_remove_handle(impl.multi, impl.announcement.handle());
+    }
+    curl_multi_cleanup(impl.multi);
+    close(impl.epollFd);
+    close(impl.timerFd);
+}
+
+std::string Upstream::address() const
+{
+    return m_impl->address;
+}
+
+Json::Value Upstream::stats() const
+{
+    const std::scoped_lock lock(m_impl->mutex);
+    return m_impl->currentStats();
+}
+}
