--- a/tests/support/load.cpp
+++ b/tests/support/load.cpp
@@ -1,6 +1,7 @@
 #include "support/load.h"
 #include "base/random.h"
 #include "support/transfer.h"
+#include "support/upstreamcall.h"
 #include "support/wait.h"
 
 #include <unistd.h>
@@ -300,9 +301,7 @@
 
 bool isOwnWholeAnswer(const std::string &answer, const std::string &body)
 {
-    Json::Value value;
-    const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
-    return reader->parse(answer.data(), answer.data() + answer.size(), &value, nullptr) && value.isObject() && value["echo"].isString()
-        && value["echo"].asString() == body && value["complete"] == true;
+    const Json::Value value = parsedAnswer(answer);
+    return value.isObject() && value["echo"].isString() && value["echo"].asString() == body && value["complete"] == true;
 }
 }
--- a/tests/support/selftest/upstreamtest.cpp
+++ b/tests/support/selftest/upstreamtest.cpp
@@ -51,7 +51,8 @@
     post(upstream, "a", {"X-Other: ygk_1.abc"});
     post(upstream, "text ygk_1.abc");
     httpCall({"GET", upstream.address(), "/ygk_1.abc"});
-    BOOST_TEST(upstream.stats()["keyLeaks"].asInt() == 4);
+    httpCall({"GET", upstream.address(), "/p?token=ygk_1.abc"});
+    BOOST_TEST(upstream.stats()["keyLeaks"].asInt() == 5);
     BOOST_TEST(upstream.stats()["headers"]["x-other"].asInt() == 2);
 }
 
--- a/tests/support/upstream.cpp
+++ b/tests/support/upstream.cpp
@@ -1,7 +1,8 @@
 #include "support/upstream.h"
 #include "base/random.h"
+#include "protocol/jsoncodec.h"
 #include "support/address.h"
-#include "support/transfer.h"
+#include "support/upstreamcall.h"
 #include "support/wait.h"
 
 #include <microhttpd.h>
@@ -11,7 +12,6 @@
 
 #include <algorithm>
 #include <atomic>
-#include <cctype>
 #include <cmath>
 #include <deque>
 #include <map>
@@ -26,8 +26,6 @@
 {
 constexpr double announceMs = 1000;
 
-enum class Broken { None, Short, Middle, NoAnswer, Foreign };
-
 struct Faults {
     double slow = 1;
     bool shed = false;
@@ -38,105 +36,6 @@
     bool draining = false;
     bool announce = true;
 };
-
-/// One received call. The daemon's thread owns it, except between suspension and resumption of its connection.
-struct Call {
-    MHD_Connection *connection;
-    int socket;
-    std::string method;
-    std::string path;
-    std::map<std::string, std::string> headers = {};
-    std::string body = {};
-    Json::Value nested = Json::arrayValue;
-    std::unique_ptr<Transfer> transfer = {};
-    bool holdsSlot = false;
-    bool done = false;
-    unsigned status = 200;
-    std::string answer = {};
-    Broken broken = Broken::None;
-};
-
-std::string lower(std::string text)
-{
-    std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) {
-        return static_cast<char>(std::tolower(c));
-    });
-    return text;
-}
-
-MHD_Result addHeader(void *call, MHD_ValueKind, const char *name, const char *value)
-{
-    static_cast<Call *>(call)->headers[lower(name)] = value ? value : "";
-    return MHD_YES;
-}
-
-bool leaksKey(const Call &call)
-{
-    std::string all = call.path + call.body;
-    for (const auto &[name, value] : call.headers) {
-        all.append("\n").append(name).append(":").append(value);
-    }
-    return call.headers.count("authorization") > 0 || all.find("ygk_") != std::string::npos;
-}
-
-std::string jsonText(const Json::Value &value)
-{
-    Json::StreamWriterBuilder writer;
-    writer["indentation"] = "";
-    return Json::writeString(writer, value);
-}
-
-Json::Value parsed(const std::string &text)
-{
-    Json::Value value;
-    std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
-    return reader->parse(text.data(), text.data() + text.size(), &value, nullptr) ? value : Json::Value(text);
-}
-
-struct PartialBody {
-    std::string bytes;
-};
-
-ssize_t readPartial(void *self, uint64_t position, char *buffer, size_t size)
-{
-    const std::string &bytes = static_cast<PartialBody *>(self)->bytes;
-    if (position >= bytes.size()) {
-        return MHD_CONTENT_READER_END_WITH_ERROR;
-    }
-    const size_t count = std::min(size, bytes.size() - static_cast<size_t>(position));
-    bytes.copy(buffer, count, position);
-    return static_cast<ssize_t>(count);
-}
-
-void freePartial(void *self)
-{
-    delete static_cast<PartialBody *>(self);
-}
-
-/// Announces more bytes than follow; the daemon then closes the connection.
-MHD_Response *partialResponse(const std::string &sent, size_t announced)
-{
-    return MHD_create_response_from_callback(announced, 1024, readPartial, new PartialBody{sent}, freePartial);
-}
-
-MHD_Result reply(MHD_Connection *connection, unsigned status, const std::string &text, Broken broken)
-{
-    if (broken == Broken::NoAnswer) {
-        return MHD_NO;
-    }
-    MHD_Response *response = nullptr;
-    if (broken == Broken::Short) {
-        response = partialResponse(text, text.size() + 100);
-    } else if (broken == Broken::Middle) {
-        response = partialResponse(text.substr(0, text.size() / 2), text.size());
-    } else {
-        response = MHD_create_response_from_buffer(text.size(), const_cast<char *>(text.data()), MHD_RESPMEM_MUST_COPY);
-    }
-    MHD_add_response_header(response, "Content-Type", "application/json");
-    const MHD_Result result = MHD_queue_response(connection, status, response);
-    MHD_destroy_response(response);
-    return result;
-}
 }
 
 struct Upstream::Impl {
@@ -208,7 +107,7 @@
     if (!call) {
         const int fd = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
         call = new Call{connection, fd, method, url};
-        MHD_get_connection_values(connection, MHD_HEADER_KIND, addHeader, call);
+        call->readHeaders();
         *state = call;
         return MHD_YES;
     }
@@ -236,7 +135,7 @@
         setFaults(call.connection);
         curl_multi_wakeup(multi);
     }
-    return reply(call.connection, 200, jsonText(currentStats()), Broken::None);
+    return reply(call.connection, 200, toText(currentStats()), Broken::None);
 }
 
 void Upstream::Impl::setFaults(MHD_Connection *connection)
@@ -257,13 +156,7 @@
         faults.coldSinceMs = steadyMs();
     }
     if (const char *kind = value("broken")) {
-        static const std::map<std::string, Broken> kinds{{"none", Broken::None},
-                                                         {"short", Broken::Short},
-                                                         {"middle", Broken::Middle},
-                                                         {"noanswer", Broken::NoAnswer},
-                                                         {"foreign", Broken::Foreign}};
-        const auto found = kinds.find(kind);
-        faults.broken = found == kinds.end() ? Broken::None : found->second;
+        faults.broken = brokenFromName(kind);
     }
 }
 
@@ -272,7 +165,7 @@
     const std::scoped_lock lock(mutex);
     count("received");
     count("receivedDraining", faults.draining ? 1 : 0);
-    count("keyLeaks", leaksKey(*call) ? 1 : 0);
+    count("keyLeaks", call->leaksKey() ? 1 : 0);
     lastReceivedMs = steadyMs();
     for (const auto &[name, value] : call->headers) {
         Json::Value &seen = stats["headers"][name];
@@ -382,7 +275,7 @@
         endWork(call);
         return;
     }
-    call->nested.append(parsed(answer.body));
+    call->nested.append(parsedAnswer(answer.body));
     if (call->nested.size() < options.nested.size()) {
         startNested(call);
     } else {
@@ -400,7 +293,7 @@
     answer["echo"] = faults.broken == Broken::Foreign ? "foreign" : call->body;
     answer["nested"] = call->nested;
     answer["complete"] = call->status == 200;
-    call->answer = jsonText(answer);
+    call->answer = toText(answer);
     timers.emplace(steadyMs() + faults.lateMs, call);
 }
 
@@ -462,7 +355,7 @@
     body["slots"] = options.slots;
     body["connections"] = options.connections;
     body["state"] = faults.draining ? "draining" : "up";
-    HttpRequest request{"POST", options.nodeAddress, "/yuccagrade/announce", jsonText(body), {"Content-Type: application/json"}};
+    HttpRequest request{"POST", options.nodeAddress, "/yuccagrade/announce", toText(body), {"Content-Type: application/json"}};
     request.sourceIp = ipOf(options.listenAddress);
     request.timeoutMs = 900;
     announcement.prepare(request);
