--- a/tests/config/clusterstatetest.cpp
+++ b/tests/config/clusterstatetest.cpp
@@ -1,4 +1,3 @@
-#undef BOOST_TEST_MODULE // configtest.cpp defines the main function of this program
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck/boost_test.h>
 
--- a/tests/consensus/raftcoretest.cpp
+++ b/tests/consensus/raftcoretest.cpp
@@ -1,4 +1,3 @@
-#undef BOOST_TEST_MODULE // raftsimtest.cpp defines main()
 #include <boost/test/unit_test.hpp>
 
 #include "simcluster.h"
--- /dev/null
+++ b/tests/testmain.cpp
@@ -0,0 +1,3 @@
+// Defines main() of every test program.
+#define BOOST_TEST_MODULE yuccagrade
+#include <boost/test/unit_test.hpp>
