--- a/apps/yuccagraded/main.cpp
+++ b/apps/yuccagraded/main.cpp
@@ -1,4 +1,54 @@
-int main()
+#include "control/controlruntime.h"
+#include "node/noderuntime.h"
+
+#include <boost/program_options.hpp>
+
+#include <iostream>
+
+using namespace Yuccagrade;
+namespace po = boost::program_options;
+
+namespace
 {
-    return 0;
+constexpr int exitUsage = 2;
+constexpr int exitFindings = 3;
+constexpr auto versionText = "yuccagraded 0.1.0";
+
+int run(const std::string &path)
+{
+    Findings findings;
+    const Settings settings = readSettings(path, findings);
+    if (!findings.empty()) {
+        std::cerr << toText(findings);
+        return exitFindings;
+    }
+    return settings.role == Role::Control ? runControl(settings) : runNode(settings);
+}
+}
+
+int main(int argc, char **argv)
+{
+    po::options_description options("Usage: yuccagraded --settings FILE\n\nExit codes: 0 drained, 1 cannot start, 2 usage, 3 findings in the settings\n\nOptions");
+    options.add_options()("settings", po::value<std::string>(), "INI file with the settings of this process")("help", "show this text")(
+        "version", "show the version");
+    try {
+        po::variables_map values;
+        po::store(po::parse_command_line(argc, argv, options), values);
+        if (values.count("help") > 0) {
+            std::cout << options;
+            return 0;
+        }
+        if (values.count("version") > 0) {
+            std::cout << versionText << '\n';
+            return 0;
+        }
+        if (values.count("settings") == 0) {
+            std::cerr << "yuccagraded: --settings FILE is missing; see --help\n";
+            return exitUsage;
+        }
+        return run(values["settings"].as<std::string>());
+    } catch (const po::error &error) {
+        std::cerr << "yuccagraded: " << error.what() << "; see --help\n";
+        return exitUsage;
+    }
 }
--- a/packages/config/clusterstate.h
+++ b/packages/config/clusterstate.h
@@ -60,6 +60,7 @@
     std::string domain;
     std::string holder; ///< node id; empty if nobody holds the floor
     std::uint64_t epoch = 0;
+    double fraction = 0; ///< part of every team's rate and burst
 
     Json::Value toJson() const;
     static bool fromJson(const Json::Value &value, FloorHolder &holder);
--- a/packages/consensus/replica.cpp
+++ b/packages/consensus/replica.cpp
@@ -205,9 +205,8 @@
 void Replica::apply(const LogEntry &entry)
 {
     m_applied = entry.index;
-    if (entry.kind == EntryKind::Command) {
-        m_hooks.apply(entry.index, entry.data);
-    } else if (entry.kind == EntryKind::Members) {
+    m_hooks.apply(entry.index, entry.kind == EntryKind::Command ? entry.data : Json::Value());
+    if (entry.kind == EntryKind::Members) {
         m_hooks.groupChanged(m_core->log().membersAt(entry.index));
     }
     finish(entry.index, entry.term);
--- a/packages/consensus/replica.h
+++ b/packages/consensus/replica.h
@@ -20,7 +20,8 @@
 struct ReplicaHooks {
     /// Sends a request; its result goes to handleResponse(). A request without a result is repeated by the protocol.
     std::function<void(const std::string &peer, const std::string &address, const std::string &method, const Json::Value &params)> send;
-    /// Applies a committed command; called once per entry, in the order of the log.
+    /// Applies a committed entry; called once per entry, in the order of the log. Entries that are not commands have a
+    /// null value, so that the owner sees every index.
     std::function<void(std::uint64_t index, const Json::Value &command)> apply;
     /// Replaces the applied state by that of a snapshot.
     std::function<void(std::uint64_t index, const std::string &state)> restore;
--- /dev/null
+++ b/packages/control/clustercore.cpp
@@ -0,0 +1,276 @@
+#include "clustercore.h"
+
+#include "base/errc.h"
+
+namespace Yuccagrade
+{
+namespace
+{
+constexpr TimeMs tickPeriodMs = 20;
+constexpr TimeMs raftTimeoutMs = 2'000;
+constexpr TimeMs syncTimeoutMs = 1'000;
+constexpr auto syncMethod = "sync";
+constexpr std::array raftMethods{"raft.hello", "raft.vote", "raft.append", "raft.snapshot"};
+}
+
+ClusterCore::ClusterCore(ProcessHost &host)
+    : m_host(host)
+    , m_random(host.identity().incarnation ^ std::hash<std::string>{}(host.identity().id))
+    , m_feed([this] {
+        return StateSnapshot{m_state.index(), m_state.toSnapshot()};
+    })
+    , m_view(host.identity().id + ';' + std::to_string(host.identity().incarnation))
+    , m_receiver(stateHooks(), m_feed)
+    , m_client(describe(host), host.settings().seeds, m_view, m_proofs, m_receiver, m_lease)
+    , m_server(host.settings().domain, m_view, m_proofs, m_feed)
+{
+    m_server.setLeaderHooks(leaderHooks());
+}
+
+Member ClusterCore::describe(const ProcessHost &host)
+{
+    Member self;
+    self.id = host.identity().id;
+    self.incarnation = host.identity().incarnation;
+    self.domain = host.settings().domain;
+    self.region = host.settings().region;
+    self.peerAddress = host.identity().address;
+    self.operatorAddress = host.settings().operatorAddress;
+    self.control = true;
+    return self;
+}
+
+// The state of a control host comes from its log only.
+StateHooks ClusterCore::stateHooks()
+{
+    return {[this] {
+                return m_state.index();
+            },
+            [](std::uint64_t, const Json::Value &) {},
+            [](const std::string &) {
+                return false;
+            }};
+}
+
+bool ClusterCore::open()
+{
+    const Settings &settings = m_host.settings();
+    ReplicaSettings options;
+    options.folder = settings.dataFolder;
+    options.id = settings.id;
+    for (const MemberAddress &member : settings.members) {
+        options.initialMembers.push_back({member.id, member.address, {}, false});
+    }
+    m_replica = std::make_unique<Replica>(options, replicaHooks(), m_host.loop().clock(), m_host.identity().incarnation);
+    StorageReport report;
+    if (const auto error = m_replica->start(report)) {
+        m_host.log().write(error == Errc::StorageDamaged ? Event::StorageDamaged : Event::StorageFailed, {{"reason", error.message()}});
+        return false;
+    }
+    if (report.created) {
+        m_host.log().write(Event::DiskReplaced, {{"disk", m_replica->diskId()}});
+    }
+    if (report.truncatedBytes > 0) {
+        m_host.log().write(Event::LogTailTruncated, {{"bytes", std::to_string(report.truncatedBytes)}});
+    }
+    for (const char *method : raftMethods) {
+        serveRaft(method);
+    }
+    m_host.link().serve(syncMethod, [this](const PeerSender &, const Json::Value &parameters) {
+        return serveSync(parameters);
+    });
+    m_host.loop().every(tickPeriodMs, [this] {
+        tick();
+    });
+    return true;
+}
+
+void ClusterCore::serveRaft(const std::string &method)
+{
+    // Without a result the sender finds the response malformed and repeats the request.
+    m_host.link().serve(method, [this, method](const PeerSender &, const Json::Value &parameters) {
+        Json::Value result;
+        if (const auto error = m_replica->handle(method, parameters, result)) {
+            m_host.log().write(Event::MalformedRequest, {{"method", method}, {"reason", error.message()}});
+            return Json::Value(Json::objectValue);
+        }
+        return result;
+    });
+}
+
+ReplicaHooks ClusterCore::replicaHooks()
+{
+    ReplicaHooks hooks;
+    hooks.send = [this](const std::string &peer, const std::string &address, const std::string &method, const Json::Value &params) {
+        sendRaft(peer, address, method, params);
+    };
+    hooks.apply = [this](std::uint64_t index, const Json::Value &command) {
+        apply(index, command);
+    };
+    hooks.restore = [this](std::uint64_t index, const std::string &text) {
+        m_state.fromSnapshot(text);
+        m_feed.restart(index);
+    };
+    hooks.state = [this] {
+        return m_state.toSnapshot();
+    };
+    hooks.leadershipChanged = [this](const Leadership &leadership) {
+        m_host.log().write(leadership.self ? Event::LeaderElected : Event::LeaderLost,
+                           {{"term", std::to_string(leadership.term)}, {"leader", leadership.leader}});
+    };
+    hooks.groupChanged = [this](const std::vector<GroupMember> &members) {
+        m_host.log().write(Event::GroupChanged, {{"members", std::to_string(members.size())}});
+    };
+    hooks.failed = [this](std::error_code error) {
+        m_host.log().write(Event::StorageFailed, {{"reason", error.message()}});
+    };
+    return hooks;
+}
+
+void ClusterCore::sendRaft(const std::string &peer, const std::string &address, const std::string &method, const Json::Value &params)
+{
+    m_host.link().call(address, method, params, raftTimeoutMs, [this, peer, method](std::error_code error, const Json::Value &result) {
+        if (!error) {
+            m_replica->handleResponse(peer, method, result);
+        }
+    });
+}
+
+void ClusterCore::apply(std::uint64_t index, const Json::Value &command)
+{
+    ApplyResult result = m_state.apply(index, command);
+    m_feed.append(index, command);
+    if (!command.isNull()) {
+        m_host.log().write(Event::EntryCommitted, {{"index", std::to_string(index)}});
+    }
+    if (m_replica && m_replica->isLeader()) {
+        m_results[index] = std::move(result);
+    }
+}
+
+void ClusterCore::propose(const Json::Value &command, ProposeCallback done)
+{
+    const auto error = m_replica->propose(command, [this, done](std::error_code outcome, std::uint64_t index) {
+        const auto found = m_results.find(index);
+        const ApplyResult result = found == m_results.end() ? ApplyResult() : found->second;
+        m_results.clear(); // entries are applied and answered in the order of the log
+        done(outcome ? outcome : result.error, result);
+    });
+    if (error) {
+        done(error, {});
+    }
+}
+
+LeaderHooks ClusterCore::leaderHooks()
+{
+    LeaderHooks hooks;
+    hooks.lease = [this](const SyncRequest &request) -> std::optional<CoordinatorLeaseGrant> {
+        if (request.self.control) {
+            return std::nullopt;
+        }
+        if (!request.wantsLease || request.self.draining) {
+            m_leader->leases.release(request.self.domain, request.self.id, request.self.incarnation);
+        }
+        return m_leader->leases.grant(request, m_replica->quorumContactMs(), m_host.loop().clock().now());
+    };
+    hooks.share = [this](const SyncRequest &request) -> std::optional<ShareMessage> {
+        const TimeMs now = m_host.loop().clock().now();
+        const TimeMs contact = m_replica->quorumContactMs();
+        const auto lease = request.self.control ? std::nullopt : m_leader->leases.grant(request, contact, now);
+        return m_leader->ledger.grant(request, lease, contact, now);
+    };
+    hooks.coordinator = [this](const std::string &domain) {
+        return m_leader->leases.holder(domain, m_host.loop().clock().now());
+    };
+    hooks.confirm = [this](const StateConfirmation &confirmation) {
+        m_leader->confirmations.confirm(confirmation.id, confirmation.incarnation, confirmation.stateIndex);
+    };
+    hooks.lose = [this](const Member &member) {
+        m_leader->confirmations.lose(member.id, member.incarnation, m_host.loop().clock().now());
+    };
+    return hooks;
+}
+
+Json::Value ClusterCore::serveSync(const Json::Value &parameters)
+{
+    SyncRequest request;
+    if (!SyncRequest::fromJson(parameters, request)) {
+        m_host.log().write(Event::MalformedRequest, {{"method", syncMethod}});
+        return Json::Value(Json::objectValue);
+    }
+    const TimeMs now = m_host.loop().clock().now();
+    updateLeadership(now);
+    SyncContacts contacts = m_client.contacts(now);
+    contacts.leaderAddress = m_leader ? m_host.identity().address : m_replica->leaderAddress();
+    return m_server.answer(request, role(), contacts, now).toJson();
+}
+
+void ClusterCore::tick()
+{
+    m_replica->tick();
+    const TimeMs now = m_host.loop().clock().now();
+    updateLeadership(now);
+    m_server.expire(role(), now);
+    if (m_leader) {
+        m_view.hear(m_client.self(), m_state.index(), now);
+        m_leader->confirmations.confirm(m_host.identity().id, m_host.identity().incarnation, m_state.index());
+        m_proofs.contacted(m_replica->quorumContactMs(), m_state.index());
+        if (leaderTick) {
+            leaderTick(*m_leader, now);
+        }
+    } else {
+        syncWithLeader(now);
+    }
+}
+
+void ClusterCore::updateLeadership(TimeMs now)
+{
+    const bool leads = m_replica->isReady() && m_replica->quorumContactMs() >= 0;
+    if (leads && !m_leader) {
+        m_leader = std::make_unique<LeaderState>(now);
+    } else if (!leads && m_leader) {
+        m_leader.reset();
+    }
+}
+
+// Control hosts that do not lead relay proofs and members to nodes that cannot reach the leader.
+void ClusterCore::syncWithLeader(TimeMs now)
+{
+    const auto action = m_client.poll(now, m_random);
+    if (!action) {
+        return;
+    }
+    m_host.link().call(action->address, syncMethod, action->request.toJson(), syncTimeoutMs,
+                       [this, now](std::error_code error, const Json::Value &result) {
+                           answerSync(error, result, now);
+                       });
+}
+
+void ClusterCore::answerSync(std::error_code error, const Json::Value &result, TimeMs sentAt)
+{
+    const TimeMs now = m_host.loop().clock().now();
+    SyncResponse response;
+    if (error || !SyncResponse::fromJson(result, response)) {
+        m_client.failed(now);
+        return;
+    }
+    response.state = {}; // comes with the log
+    m_client.answered(response, sentAt, now);
+}
+
+std::string ClusterCore::leaderOperatorAddress() const
+{
+    const std::string leader = m_replica->leaderAddress();
+    for (const Member &member : m_view.upMembers()) {
+        if (member.control && member.peerAddress == leader) {
+            return member.operatorAddress;
+        }
+    }
+    return {};
+}
+
+void ClusterCore::drain()
+{
+    m_client.self().draining = true;
+}
+}
--- /dev/null
+++ b/packages/control/controlruntime.h
@@ -0,0 +1,9 @@
+#pragma once
+
+#include "config/settings.h"
+
+namespace Yuccagrade
+{
+/// Runs a control host until it has drained after SIGTERM, SIGINT or an operator's drain call. Returns the exit code.
+int runControl(const Settings &settings);
+}
--- /dev/null
+++ b/packages/node/noderuntime.cpp
@@ -0,0 +1,173 @@
+#include "noderuntime.h"
+
+#include "entrygate.h"
+#include "runtime/processhost.h"
+
+namespace Yuccagrade
+{
+namespace
+{
+constexpr auto announcePath = "/yuccagrade/announce";
+constexpr auto callPath = "/call";
+constexpr int exitCannotStart = 1;
+
+/// All parts of a node.
+class NodeRuntime
+{
+public:
+    explicit NodeRuntime(ProcessHost &host);
+
+    bool open();
+    /// Handles a call of another node.
+    void handleCall(const std::shared_ptr<HttpExchange> &exchange)
+    {
+        m_forwarder.handle(exchange);
+    }
+    void drain();
+    bool isDrained() const;
+
+private:
+    ControlPlaneHooks hooks();
+    void stateChanged();
+    void viewChanged();
+    void handleCaller(const std::shared_ptr<HttpExchange> &exchange);
+    void refreshMetrics(Metrics &metrics) const;
+
+    ProcessHost &m_host;
+    ControlPlane m_plane;
+    RunningCalls m_calls;
+    UpstreamGate m_gate;
+    Forwarder m_forwarder;
+    ClaimAgent m_claims;
+    EntryGate m_entry;
+    HttpServer m_callerServer;
+};
+
+NodeRuntime::NodeRuntime(ProcessHost &host)
+    : m_host(host)
+    , m_plane(host.loop(), host.link(), host.log(), host.settings(), host.identity(), hooks())
+    , m_gate(host.loop(), host.client(), host.log(), host.metrics(), m_plane, m_calls)
+    , m_forwarder(host.loop(), host.client(), host.auth(), host.log(), m_gate)
+    , m_claims(host.loop(), host.link(), host.log(), m_plane, host.identity())
+    , m_entry({host.loop(),
+               host.log(),
+               host.metrics(),
+               m_plane,
+               m_gate,
+               m_forwarder,
+               m_claims,
+               m_calls,
+               [](const std::string &, const std::function<void(bool)> &done) {
+                   done(true);
+               }},
+              host.identity().id,
+              host.settings().domain)
+    , m_callerServer(host.loop(), [this](const auto &exchange) {
+        handleCaller(exchange);
+    })
+{
+}
+
+ControlPlaneHooks NodeRuntime::hooks()
+{
+    ControlPlaneHooks hooks;
+    hooks.stateChanged = [this] {
+        stateChanged();
+    };
+    hooks.viewChanged = [this] {
+        viewChanged();
+    };
+    hooks.freshChanged = [](bool) {};
+    return hooks;
+}
+
+bool NodeRuntime::open()
+{
+    m_host.metricsHook = [this](Metrics &metrics) {
+        refreshMetrics(metrics);
+    };
+    if (const auto error = m_callerServer.listen(m_host.settings().callerAddress)) {
+        m_host.log().write(Event::ListenFailed, {{"address", m_host.settings().callerAddress}, {"reason", error.message()}});
+        return false;
+    }
+    m_plane.start();
+    m_gate.start();
+    m_claims.start();
+    return true;
+}
+
+void NodeRuntime::stateChanged()
+{
+    m_entry.stateChanged();
+    m_gate.stateChanged();
+    m_claims.stateChanged();
+}
+
+void NodeRuntime::viewChanged()
+{
+    m_entry.viewChanged();
+}
+
+void NodeRuntime::handleCaller(const std::shared_ptr<HttpExchange> &exchange)
+{
+    const HttpRequest &request = exchange->request();
+    if (request.path != announcePath) {
+        m_entry.handle(exchange);
+        return;
+    }
+    // Only the upstream on this host may announce itself.
+    const bool isLocal = request.remoteAddress == ipOf(m_callerServer.address()) || request.remoteAddress == "127.0.0.1";
+    exchange->respond(isLocal && request.method == "POST" ? m_gate.announce(request) : HttpResponse{403, {}, {}});
+}
+
+void NodeRuntime::drain()
+{
+    m_plane.drain();
+    m_entry.drain();
+    m_gate.drain();
+}
+
+bool NodeRuntime::isDrained() const
+{
+    return m_entry.active() == 0 && m_gate.active() == 0;
+}
+
+void NodeRuntime::refreshMetrics(Metrics &metrics) const
+{
+    const LoadReport load = m_gate.load();
+    metrics.gauge("yuccagrade_upstream_in_flight", load.inFlight);
+    metrics.gauge("yuccagrade_upstream_limit", load.limit);
+    metrics.gauge("yuccagrade_upstream_queued", load.queued);
+    metrics.gauge("yuccagrade_requests_active", static_cast<double>(m_entry.active()));
+    metrics.gauge("yuccagrade_state_index", static_cast<double>(m_plane.state().index()));
+    metrics.gauge("yuccagrade_fresh", m_plane.isFresh() ? 1 : 0);
+    metrics.gauge("yuccagrade_coordinator", m_plane.isCoordinator() ? 1 : 0);
+    metrics.gauge("yuccagrade_members_up", static_cast<double>(m_plane.view().upMembers().size()));
+    metrics.gauge("yuccagrade_claim_replicas_abstaining", m_claims.abstaining());
+}
+}
+
+int runNode(const Settings &settings)
+{
+    ProcessHost host(settings);
+    std::unique_ptr<NodeRuntime> node;
+    if (!host.open()) {
+        return exitCannotStart;
+    }
+    node = std::make_unique<NodeRuntime>(host);
+    host.peerHandler = [&](const auto &exchange) {
+        if (exchange->request().path == callPath && exchange->request().method == "POST") {
+            node->handleCall(exchange);
+        } else {
+            exchange->respond({404, {}, {}});
+        }
+    };
+    host.drainHook = [&] {
+        node->drain();
+    };
+    host.isDrained = [&] {
+        return node->isDrained();
+    };
+    return node->open() ? host.run() : exitCannotStart;
+}
+}
--- a/packages/protocol/commands.h
+++ b/packages/protocol/commands.h
@@ -65,6 +65,7 @@
     std::string domain;
     std::string holder; ///< node id; empty after the holder gave the floor back
     std::uint64_t epoch = 0;
+    double fraction = 0; ///< part of every team's rate and burst
 
     Json::Value toJson() const;
     static bool fromJson(const Json::Value &value, SetFloorHolder &command);
--- a/packages/protocol/syncmessages.cpp
+++ b/packages/protocol/syncmessages.cpp
@@ -67,6 +67,7 @@
     value["domain"] = domain;
     value["region"] = region;
     value["peerAddress"] = peerAddress;
+    value["operatorAddress"] = operatorAddress;
     value["control"] = control;
     value["draining"] = draining;
     value["up"] = up;
@@ -82,6 +83,7 @@
                .read("revision", out.revision)
                .read("domain", out.domain)
                .read("region", out.region)
+               .read("operatorAddress", out.operatorAddress)
                .read("peerAddress", out.peerAddress)
                .read("control", out.control)
                .read("draining", out.draining)
--- a/packages/protocol/syncmessages.h
+++ b/packages/protocol/syncmessages.h
@@ -28,6 +28,7 @@
     std::string domain;
     std::string region;
     std::string peerAddress; ///< advertised address for control messages and data calls
+    std::string operatorAddress; ///< control hosts only
     bool control = false;
     bool draining = false;
     bool up = true; ///< false in a delta: remove the member
