Membership: test that the client counts from its sending time

Cause: trials with proofs and leases counted from the receive time failed no test, because the simulated delays stay within the margin for drift.

--- a/packages/membership/coordinatorlease.cpp
+++ b/packages/membership/coordinatorlease.cpp
@@ -11,9 +11,7 @@
 {
 }
 
-std::optional<CoordinatorLeaseGrant> CoordinatorLeaseTable::grant(const SyncRequest &request,
-                                                                 TimeMs contactAt,
-                                                                 TimeMs now)
+std::optional<CoordinatorLeaseGrant> CoordinatorLeaseTable::grant(const SyncRequest &request, TimeMs contactAt, TimeMs now)
 {
     const Member &self = request.self;
     const TimeMs end = std::min(contactAt, now) + coordinatorLeaseMs;
--- a/packages/membership/memberview.cpp
+++ b/packages/membership/memberview.cpp
@@ -34,8 +34,7 @@
     return true;
 }
 
-std::optional<std::uint64_t>
-MemberView::takeReport(const std::string &reporter, const MemberReport &report, TimeMs now)
+std::optional<std::uint64_t> MemberView::takeReport(const std::string &reporter, const MemberReport &report, TimeMs now)
 {
     Reporter &known = m_reporters[reporter];
     known.heardAt = now;
--- a/packages/membership/syncclient.cpp
+++ b/packages/membership/syncclient.cpp
@@ -17,12 +17,7 @@
 constexpr TimeMs retryMs = 50;
 }
 
-SyncClient::SyncClient(Member self,
-                       std::vector<std::string> seeds,
-                       MemberView &view,
-                       ProofHolder &proofs,
-                       StateReceiver &state,
-                       CoordinatorLeaseHolder &lease)
+SyncClient::SyncClient(Member self, std::vector<std::string> seeds, MemberView &view, ProofHolder &proofs, StateReceiver &state, CoordinatorLeaseHolder &lease)
     : m_self(std::move(self))
     , m_seeds(std::move(seeds))
     , m_view(view)
@@ -110,7 +105,7 @@
     if (isUsable(m_leaderAddress, now)) {
         return m_leaderAddress;
     }
-    const std::string seed = firstUsable(m_seeds, now, random);
+    std::string seed = firstUsable(m_seeds, now, random);
     if (!seed.empty()) {
         return seed;
     }
@@ -118,7 +113,7 @@
     for (const Member &member : m_view.upMembers()) {
         peers.push_back(member.peerAddress);
     }
-    const std::string peer = firstUsable(peers, now, random);
+    std::string peer = firstUsable(peers, now, random);
     if (!peer.empty()) {
         return peer;
     }
@@ -127,8 +122,7 @@
     return peers.empty() ? std::string() : peers[random.below(peers.size())];
 }
 
-std::string
-SyncClient::firstUsable(const std::vector<std::string> &addresses, TimeMs now, Random &random) const
+std::string SyncClient::firstUsable(const std::vector<std::string> &addresses, TimeMs now, Random &random) const
 {
     const std::size_t start = random.below(addresses.size());
     for (std::size_t i = 0; i < addresses.size(); ++i) {
--- a/packages/membership/syncclient.h
+++ b/packages/membership/syncclient.h
@@ -25,12 +25,7 @@
 {
 public:
     /// @param self description of this process; @param seeds peer addresses from the settings.
-    SyncClient(Member self,
-               std::vector<std::string> seeds,
-               MemberView &view,
-               ProofHolder &proofs,
-               StateReceiver &state,
-               CoordinatorLeaseHolder &lease);
+    SyncClient(Member self, std::vector<std::string> seeds, MemberView &view, ProofHolder &proofs, StateReceiver &state, CoordinatorLeaseHolder &lease);
 
     /// Returns the request to send now, if one is due. At most one request is under way.
     std::optional<SyncAction> poll(TimeMs now, Random &random);
--- a/packages/membership/syncserver.cpp
+++ b/packages/membership/syncserver.cpp
@@ -17,8 +17,7 @@
     m_hooks = std::move(hooks);
 }
 
-SyncResponse
-SyncServer::answer(const SyncRequest &request, SyncRole role, const SyncContacts &contacts, TimeMs now)
+SyncResponse SyncServer::answer(const SyncRequest &request, SyncRole role, const SyncContacts &contacts, TimeMs now)
 {
     takeRole(role, now);
     SyncResponse response;
@@ -54,7 +53,7 @@
         m_view.forgetHeard(now);
         return {};
     }
-    const std::vector<Member> down = m_view.expire(now);
+    std::vector<Member> down = m_view.expire(now);
     if (role == SyncRole::Leader && m_hooks.lose) {
         for (const Member &member : down) {
             m_hooks.lose(member);
@@ -98,10 +97,7 @@
     }
 }
 
-void SyncServer::fillContacts(SyncResponse &response,
-                              const SyncRequest &request,
-                              SyncRole role,
-                              const SyncContacts &contacts)
+void SyncServer::fillContacts(SyncResponse &response, const SyncRequest &request, SyncRole role, const SyncContacts &contacts)
 {
     if (role != SyncRole::Leader || !m_hooks.coordinator) {
         response.coordinatorId = contacts.coordinatorId;
--- a/packages/protocol/syncmessages.cpp
+++ b/packages/protocol/syncmessages.cpp
@@ -101,11 +101,7 @@
 
 bool StateConfirmation::fromJson(const Json::Value &value, StateConfirmation &out)
 {
-    return JsonReader(value)
-        .read("id", out.id)
-        .read("incarnation", out.incarnation)
-        .read("stateIndex", out.stateIndex)
-        .ok();
+    return JsonReader(value).read("id", out.id).read("incarnation", out.incarnation).read("stateIndex", out.stateIndex).ok();
 }
 
 Json::Value MemberReport::toJson() const
@@ -120,12 +116,7 @@
 
 bool MemberReport::fromJson(const Json::Value &value, MemberReport &out)
 {
-    return JsonReader(value)
-        .read("base", out.base)
-        .read("version", out.version)
-        .readList("members", out.members)
-        .readList("confirmed", out.confirmed)
-        .ok();
+    return JsonReader(value).read("base", out.base).read("version", out.version).readList("members", out.members).readList("confirmed", out.confirmed).ok();
 }
 
 Json::Value FreshnessProof::toJson() const
@@ -262,8 +253,7 @@
                .read("wantsLease", out.wantsLease)
                .read("leaseLeftMs", out.leaseLeftMs)
                .ok()
-        && takeObject(value, "self", out.self) && takeObject(value, "report", out.report)
-        && take(value, "share", out.share);
+        && takeObject(value, "self", out.self) && takeObject(value, "report", out.report) && take(value, "share", out.share);
 }
 
 Json::Value SyncResponse::toJson() const
@@ -291,7 +281,7 @@
                .read("coordinatorAddress", out.coordinatorAddress)
                .read("ackedReport", out.ackedReport)
                .ok()
-        && takeObject(value, "state", out.state) && takeObject(value, "view", out.view)
-        && take(value, "lease", out.lease) && take(value, "proof", out.proof) && take(value, "share", out.share);
+        && takeObject(value, "state", out.state) && takeObject(value, "view", out.view) && take(value, "lease", out.lease) && take(value, "proof", out.proof)
+        && take(value, "share", out.share);
 }
 }
--- a/tests/membership/membershiptest.cpp
+++ b/tests/membership/membershiptest.cpp
@@ -80,6 +80,22 @@
     BOOST_TEST(!holder.issue(6, 2'000).has_value());
 }
 
+// Guards against proofs and leases that a slow response makes longer, and against responses to abandoned requests.
+BOOST_AUTO_TEST_CASE(clientCountsFromSendingTime)
+{
+    SyncProcess process(node("h1", 1), {"h0"}, 5);
+    Random random(1);
+    BOOST_TEST(process.client.poll(1'000, random).has_value());
+    SyncResponse response;
+    response.proof = FreshnessProof{5, 2'100};
+    response.lease = CoordinatorLeaseGrant{2'100, false};
+    process.client.answered(response, 900, 1'300);
+    BOOST_TEST(!process.proofs.isValid(5, 1'300));
+    process.client.answered(response, 1'000, 1'300);
+    BOOST_TEST(process.proofs.validUntil(5, 1'300) == 2'900);
+    BOOST_TEST(process.lease.expiry() == 2'900);
+}
+
 // Guards against a newer proof that disables a process whose state is only proven by an older one.
 BOOST_AUTO_TEST_CASE(olderProofStaysUsableUntilItExpires)
 {
--- a/tests/membership/synccluster.cpp
+++ b/tests/membership/synccluster.cpp
@@ -16,7 +16,7 @@
             }};
 }
 
-SyncProcess::SyncProcess(Member self, const std::vector<std::string> &seeds, std::uint64_t startIndex)
+SyncProcess::SyncProcess(const Member &self, const std::vector<std::string> &seeds, std::uint64_t startIndex)
     : state{startIndex}
     , view(self.id + ';' + std::to_string(self.incarnation))
     , feed([this] {
@@ -242,11 +242,7 @@
     });
 }
 
-void SyncCluster::deliver(std::size_t from,
-                          std::size_t to,
-                          const SyncRequest &request,
-                          TimeMs sentAt,
-                          std::uint64_t incarnation)
+void SyncCluster::deliver(std::size_t from, std::size_t to, const SyncRequest &request, TimeMs sentAt, std::uint64_t incarnation)
 {
     SyncProcess &process = *hosts[to].process;
     const TimeMs time = local(hosts[to]);
--- a/tests/membership/synccluster.h
+++ b/tests/membership/synccluster.h
@@ -22,7 +22,7 @@
 
 /// Everything that a process loses when it restarts.
 struct SyncProcess {
-    SyncProcess(Member self, const std::vector<std::string> &seeds, std::uint64_t startIndex);
+    SyncProcess(const Member &self, const std::vector<std::string> &seeds, std::uint64_t startIndex);
 
     IndexState state;
     MemberView view;
