Quota: first version of buckets, stocks, share ledger and borrowing

Cause: teams need one rate over all hosts without a call to a control host on the hot path. Change: packages/quota and its messages, with unit and property tests.

--- a/packages/protocol/syncmessages.cpp
+++ b/packages/protocol/syncmessages.cpp
@@ -213,6 +213,7 @@
     value["leasedFraction"] = leasedFraction;
     value["leasedMs"] = Json::Int64(leasedMs);
     value["renewalOnly"] = renewalOnly;
+    value["confirmedIndex"] = Json::UInt64(confirmedIndex);
     value["handBack"] = handBack;
     return value;
 }
@@ -225,6 +226,7 @@
                .read("leasedFraction", out.leasedFraction)
                .read("leasedMs", out.leasedMs)
                .read("renewalOnly", out.renewalOnly)
+               .read("confirmedIndex", out.confirmedIndex)
                .read("handBack", out.handBack)
                .ok()
         && isFraction(out.floorFraction) && isFraction(out.leasedFraction);
--- a/packages/protocol/syncmessages.h
+++ b/packages/protocol/syncmessages.h
@@ -119,6 +119,7 @@
     double leasedFraction = 0;
     TimeMs leasedMs = 0; ///< remaining validity
     bool renewalOnly = false; ///< grants only: valid only for a part that is still held
+    std::uint64_t confirmedIndex = 0; ///< grants only: state index that every known process has confirmed
     bool handBack = false; ///< reports only: the requester has stopped using its share
 
     Json::Value toJson() const;
--- a/packages/quota/placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-// Placeholder so that the package builds until its first module is merged.
--- a/tests/membership/membershiptest.cpp
+++ b/tests/membership/membershiptest.cpp
@@ -235,7 +235,7 @@
     SyncRequest request = leaseRequest("a", 7);
     request.self.upstream = UpstreamAnnouncement{"status", 80, 40, 330, true};
     request.report = {1, 2, {node("x", 3)}, {{"x", 3, 4}}};
-    request.share = ShareMessage{0.25, 600'000, 0.5, 4'000, true, false};
+    request.share = ShareMessage{0.25, 600'000, 0.5, 4'000, true, 8, false};
     SyncRequest parsedRequest;
     BOOST_TEST(SyncRequest::fromJson(request.toJson(), parsedRequest));
     BOOST_TEST(parsedRequest.toJson() == request.toJson());
--- /dev/null
+++ b/tests/quota/quotacluster.cpp
@@ -0,0 +1,314 @@
+#include "quotacluster.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Yuccagrade
+{
+namespace
+{
+const std::string team = "t";
+constexpr TimeMs waitMs = 20;
+}
+
+SpendingCheck::SpendingCheck(double rate, double burst, TimeMs now)
+    : m_rate(rate)
+    , m_burst(burst)
+    , m_at(now)
+{
+}
+
+void SpendingCheck::spend(double tokens, TimeMs now)
+{
+    allow(m_rate, m_burst, now);
+    m_level += tokens;
+    excess = std::max(excess, m_level - m_burst);
+}
+
+void SpendingCheck::allow(double rate, double burst, TimeMs now)
+{
+    m_level = std::max(0.0, m_level - m_rate * static_cast<double>(now - m_at) / 1'000);
+    m_at = now;
+    m_rate = rate;
+    m_burst = burst;
+}
+
+QuotaCluster::QuotaCluster(const Options &options, std::uint64_t seed)
+    : random(seed)
+    , cut(options.domains)
+    , m_options(options)
+    , m_desks(options.domains)
+    , m_limits{{options.rate, options.burst}}
+{
+    m_checks.emplace_back(options.rate, options.burst, 0);
+    changeLeader();
+    for (int domain = 0; domain < options.domains; ++domain) {
+        restartDesk(domain, true);
+        for (int i = 0; i < options.nodes; ++i) {
+            m_nodes.push_back({domain, randomClock(), nullptr, {}});
+            restartNode(m_nodes.size() - 1);
+        }
+    }
+}
+
+SimClock QuotaCluster::randomClock()
+{
+    return {1 + m_options.drift * (2 * random.fraction() - 1), static_cast<TimeMs>(random.below(10'000)), 0};
+}
+
+void QuotaCluster::restartDesk(int domain, bool otherHost)
+{
+    Desk &desk = m_desks[domain];
+    ++m_incarnations;
+    if (otherHost) {
+        desk.id = "c" + std::to_string(m_incarnations);
+        desk.clock = randomClock();
+    }
+    const TimeMs time = desk.clock.local(now);
+    desk.desk = std::make_unique<QuotaDesk>(desk.id + ';' + std::to_string(m_incarnations), time, m_options.margin);
+    desk.applied = m_limits.size();
+    desk.desk->setLimits(team, desk.applied, m_limits.back(), time);
+}
+
+void QuotaCluster::restartNode(std::size_t node)
+{
+    m_nodes[node].client = std::make_unique<QuotaClient>("n" + std::to_string(node), ++m_incarnations);
+    m_nodes[node].waiting.clear();
+}
+
+void QuotaCluster::changeLeader()
+{
+    m_electedAt = now;
+    m_ledger = std::make_unique<ShareLedger>(now);
+    std::vector<std::string> domains;
+    for (int i = 0; i < m_options.domains; ++i) {
+        domains.push_back("d" + std::to_string(i));
+    }
+    m_ledger->setDomains(domains);
+    m_ledger->setFloors(m_floors);
+}
+
+void QuotaCluster::changeLimits(double rate, double burst)
+{
+    m_limits.push_back({rate, burst});
+    double highestRate = 0;
+    double highestBurst = 0;
+    for (std::size_t i = m_confirmed == 0 ? 0 : m_confirmed - 1; i < m_limits.size(); ++i) {
+        highestRate = std::max(highestRate, m_limits[i].rate);
+        highestBurst = std::max(highestBurst, m_limits[i].burst);
+    }
+    for (SpendingCheck &check : m_checks) {
+        check.allow(highestRate, highestBurst, now);
+    }
+}
+
+void QuotaCluster::freezeSomebody()
+{
+    const std::size_t index = random.below(m_nodes.size() + m_desks.size());
+    SimClock &clock = index < m_nodes.size() ? m_nodes[index].clock : m_desks[index - m_nodes.size()].clock;
+    clock.frozenUntil = now + static_cast<TimeMs>(random.below(6'000));
+}
+
+double QuotaCluster::worstExcess() const
+{
+    double worst = 0;
+    for (const SpendingCheck &check : m_checks) {
+        worst = std::max(worst, check.excess);
+    }
+    return worst;
+}
+
+void QuotaCluster::run(TimeMs duration, const std::function<double(int)> &load)
+{
+    for (const TimeMs end = now + duration; now < end; ++now) {
+        while (!m_events.empty() && m_events.begin()->first <= now) {
+            const auto event = m_events.extract(m_events.begin());
+            event.mapped()();
+        }
+        for (int i = 0; i < m_options.domains; ++i) {
+            sync(i);
+            borrow(i);
+        }
+        for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+            tickNode(i, load(m_nodes[i].domain) / m_options.nodes);
+        }
+        if (now % 10 == 0) {
+            check();
+        }
+    }
+}
+
+void QuotaCluster::transmit(int from, int to, const std::function<void()> &arrive)
+{
+    const int copies = random.fraction() < m_options.loss ? 0 : random.fraction() < m_options.duplicates ? 2 : 1;
+    for (int i = 0; i < copies; ++i) {
+        const TimeMs delay = 1 + static_cast<TimeMs>(random.below(static_cast<std::uint64_t>(m_options.maxDelay)));
+        m_events.emplace(now + delay, [=, this] {
+            if (from == to || (!(from >= 0 && cut[from]) && !(to >= 0 && cut[to]))) {
+                arrive();
+            }
+        });
+    }
+}
+
+std::optional<CoordinatorLeaseGrant> QuotaCluster::lease(int domain, const std::string &id)
+{
+    auto &[holder, end] = m_leases[domain];
+    const bool settled = now >= m_electedAt + 4'500;
+    if (holder != id && now < (settled ? end : m_electedAt + 4'500)) {
+        return std::nullopt;
+    }
+    holder = id;
+    end = now + 4'300;
+    return CoordinatorLeaseGrant{4'000, !settled};
+}
+
+void QuotaCluster::sync(int domain)
+{
+    Desk &desk = m_desks[domain];
+    if (now < desk.syncAt || now < desk.clock.frozenUntil) {
+        return;
+    }
+    desk.syncAt = now + 500;
+    const TimeMs sentAt = desk.clock.local(now);
+    SyncRequest request;
+    request.self.id = desk.id;
+    request.self.domain = "d" + std::to_string(domain);
+    request.share = desk.desk->share().report(sentAt);
+    const QuotaDesk *identity = desk.desk.get();
+    const std::uint64_t applied = desk.applied;
+    transmit(domain, -1, [=, this] {
+        auto grant = m_ledger->grant(request, lease(domain, request.self.id), now, now);
+        for (const auto &[name, record] : m_ledger->proposals(now)) {
+            m_floors[name] = record;
+        }
+        m_ledger->setFloors(m_floors);
+        const std::uint64_t known = m_limits.size();
+        transmit(-1, domain, [=, this] {
+            Desk &receiver = m_desks[domain];
+            if (receiver.desk.get() != identity || now < receiver.clock.frozenUntil) {
+                return;
+            }
+            const TimeMs time = receiver.clock.local(now);
+            while (receiver.applied < std::max(applied, known)) {
+                receiver.desk->setLimits(team, receiver.applied + 1, m_limits[receiver.applied], time);
+                ++receiver.applied;
+            }
+            if (grant) {
+                ShareMessage share = *grant;
+                share.confirmedIndex = m_confirmed;
+                receiver.desk->takeShare(share, sentAt, time);
+            }
+        });
+    });
+}
+
+void QuotaCluster::borrow(int domain)
+{
+    Desk &desk = m_desks[domain];
+    const bool due = now >= desk.askAt || (desk.desk->isShort() && now >= desk.askAt - 17);
+    if (!due || now < desk.clock.frozenUntil) {
+        return;
+    }
+    desk.askAt = now + 20;
+    std::vector<std::string> peers;
+    for (int i = 0; i < m_options.domains; ++i) {
+        if (i != domain) {
+            peers.push_back(std::to_string(i));
+        }
+    }
+    const TimeMs sentAt = desk.clock.local(now);
+    const QuotaDesk *identity = desk.desk.get();
+    for (const auto &[peer, request] : desk.desk->asks(peers, sentAt)) {
+        transmit(domain, std::stoi(peer), [=, this, name = peer, message = request] {
+            Desk &lender = m_desks[std::stoi(name)];
+            if (now < lender.clock.frozenUntil) {
+                return;
+            }
+            const BorrowResponse response = lender.desk->answer(message, lender.clock.local(now));
+            transmit(std::stoi(name), domain, [=, this] {
+                Desk &receiver = m_desks[domain];
+                if (receiver.desk.get() == identity && now >= receiver.clock.frozenUntil) {
+                    receiver.desk->answered(name, response, sentAt, receiver.clock.local(now));
+                }
+            });
+        });
+    }
+}
+
+void QuotaCluster::tickNode(std::size_t index, double load)
+{
+    Node &node = m_nodes[index];
+    if (now < node.clock.frozenUntil) {
+        return;
+    }
+    const TimeMs time = node.clock.local(now);
+    for (double at = -std::log(1 - random.fraction()); at < load / 1'000; at -= std::log(1 - random.fraction())) {
+        if (node.client->arrive(team, 1, time)) {
+            serve();
+        } else {
+            node.waiting.push_back(now);
+        }
+    }
+    while (!node.waiting.empty()) {
+        const bool paid = node.client->retry(team, 1, time);
+        if (!paid && now - node.waiting.front() < waitMs) {
+            break;
+        }
+        node.client->stopWaiting(team, 1);
+        node.waiting.pop_front();
+        if (paid) {
+            serve();
+        } else {
+            ++refused;
+        }
+    }
+    const auto request = node.client->poll(time);
+    if (!request) {
+        return;
+    }
+    const QuotaClient *identity = node.client.get();
+    const int domain = node.domain;
+    transmit(domain, domain, [=, this, message = *request] {
+        Desk &desk = m_desks[domain];
+        if (now < desk.clock.frozenUntil) {
+            return;
+        }
+        const BorrowResponse response = desk.desk->answer(message, desk.clock.local(now));
+        transmit(domain, domain, [=, this] {
+            if (m_nodes[index].client.get() == identity) {
+                m_nodes[index].client->answered(response, time);
+            }
+        });
+    });
+}
+
+void QuotaCluster::serve()
+{
+    ++served;
+    for (SpendingCheck &check : m_checks) {
+        check.spend(1, now);
+    }
+}
+
+void QuotaCluster::check()
+{
+    double sum = 0;
+    std::uint64_t lowest = m_limits.size();
+    for (const Desk &desk : m_desks) {
+        sum += desk.desk->share().fraction(desk.clock.local(now));
+        lowest = std::min(lowest, desk.applied);
+    }
+    worstSum = std::max(worstSum, sum);
+    if (lowest > m_confirmed) {
+        m_confirmed = lowest;
+        if (m_confirmed == m_limits.size()) {
+            const TokenLimits &limits = m_limits.back();
+            for (SpendingCheck &check : m_checks) {
+                check.allow(limits.rate, std::max(limits.burst, m_options.burst), now);
+            }
+            m_checks.emplace_back(limits.rate, limits.burst, now);
+        }
+    }
+}
+}
