--- a/packages/protocol/syncmessages.cpp
+++ b/packages/protocol/syncmessages.cpp
@@ -103,11 +103,7 @@
 
 bool StateConfirmation::fromJson(const Json::Value &value, StateConfirmation &out)
 {
-    return JsonReader(value)
-        .read("id", out.id)
-        .read("incarnation", out.incarnation)
-        .read("stateIndex", out.stateIndex)
-        .ok();
+    return JsonReader(value).read("id", out.id).read("incarnation", out.incarnation).read("stateIndex", out.stateIndex).ok();
 }
 
 Json::Value MemberReport::toJson() const
@@ -122,12 +118,7 @@
 
 bool MemberReport::fromJson(const Json::Value &value, MemberReport &out)
 {
-    return JsonReader(value)
-        .read("base", out.base)
-        .read("version", out.version)
-        .readList("members", out.members)
-        .readList("confirmed", out.confirmed)
-        .ok();
+    return JsonReader(value).read("base", out.base).read("version", out.version).readList("members", out.members).readList("confirmed", out.confirmed).ok();
 }
 
 Json::Value FreshnessProof::toJson() const
@@ -224,6 +215,7 @@
     value["leasedFraction"] = leasedFraction;
     value["leasedMs"] = Json::Int64(leasedMs);
     value["renewalOnly"] = renewalOnly;
+    value["confirmedIndex"] = Json::UInt64(confirmedIndex);
     value["handBack"] = handBack;
     return value;
 }
@@ -236,6 +228,7 @@
                .read("leasedFraction", out.leasedFraction)
                .read("leasedMs", out.leasedMs)
                .read("renewalOnly", out.renewalOnly)
+               .read("confirmedIndex", out.confirmedIndex)
                .read("handBack", out.handBack)
                .ok()
         && isFraction(out.floorFraction) && isFraction(out.leasedFraction);
@@ -264,8 +257,7 @@
                .read("wantsLease", out.wantsLease)
                .read("leaseLeftMs", out.leaseLeftMs)
                .ok()
-        && takeObject(value, "self", out.self) && takeObject(value, "report", out.report)
-        && take(value, "share", out.share);
+        && takeObject(value, "self", out.self) && takeObject(value, "report", out.report) && take(value, "share", out.share);
 }
 
 Json::Value SyncResponse::toJson() const
@@ -293,7 +285,7 @@
                .read("coordinatorAddress", out.coordinatorAddress)
                .read("ackedReport", out.ackedReport)
                .ok()
-        && takeObject(value, "state", out.state) && takeObject(value, "view", out.view)
-        && take(value, "lease", out.lease) && take(value, "proof", out.proof) && take(value, "share", out.share);
+        && takeObject(value, "state", out.state) && takeObject(value, "view", out.view) && take(value, "lease", out.lease) && take(value, "proof", out.proof)
+        && take(value, "share", out.share);
 }
 }
