Quota agent; confirmed index for share grants

Cause: a bucket may raise its limits only when every process that may hold a valid proof has confirmed the manifest, so the leader reports that index. Change: QuotaAgent joins QuotaClient and QuotaDesk with the network; coordinators announce themselves so that others can borrow from them.

--- a/packages/config/clusterstate.cpp
+++ b/packages/config/clusterstate.cpp
@@ -248,7 +248,7 @@
     if (found == m_floorHolders.end() && !m_manifest->domain(command.domain)) {
         return refused(Errc::NotFound, "the manifest has no such domain");
     }
-    m_floorHolders[command.domain] = {command.domain, command.holder, command.epoch};
+    m_floorHolders[command.domain] = {command.domain, command.holder, command.epoch, command.fraction};
     return {{}, Json::Value(Json::objectValue), true, false};
 }
 
--- a/packages/config/statesnapshot.cpp
+++ b/packages/config/statesnapshot.cpp
@@ -68,12 +68,15 @@
     value["domain"] = domain;
     value["holder"] = holder;
     value["epoch"] = Json::UInt64{epoch};
+    value["fraction"] = fraction;
     return value;
 }
 
 bool FloorHolder::fromJson(const Json::Value &value, FloorHolder &holder)
 {
-    return JsonReader(value).read("domain", holder.domain).read("holder", holder.holder).read("epoch", holder.epoch).ok();
+    JsonReader reader(value);
+    reader.read("domain", holder.domain).read("holder", holder.holder).read("epoch", holder.epoch);
+    return reader.read("fraction", holder.fraction).ok();
 }
 
 Json::Value ClusterState::Submission::toJson() const
--- a/packages/control/clustercore.cpp
+++ b/packages/control/clustercore.cpp
@@ -177,7 +177,11 @@
         const TimeMs now = m_host.loop().clock().now();
         const TimeMs contact = m_replica->quorumContactMs();
         const auto lease = request.self.control ? std::nullopt : m_leader->leases.grant(request, contact, now);
-        return m_leader->ledger.grant(request, lease, contact, now);
+        auto share = m_leader->ledger.grant(request, lease, contact, now);
+        if (share) {
+            share->confirmedIndex = m_leader->confirmations.confirmedByAll(now);
+        }
+        return share;
     };
     hooks.coordinator = [this](const std::string &domain) {
         return m_leader->leases.holder(domain, m_host.loop().clock().now());
--- a/packages/control/operatorapi.cpp
+++ b/packages/control/operatorapi.cpp
@@ -99,7 +99,7 @@
     }
     const std::string seed = command.submission + '\n' + command.team;
     const std::string &secret = m_core.host().clusterSecret();
-    const TeamKey key{sha256("key id\n" + seed).substr(0, keyIdChars), hmacSha256(secret, "team key\n" + seed)};
+    const TeamKey key{'k' + sha256("key id\n" + seed).substr(0, keyIdChars), hmacSha256(secret, "team key\n" + seed)};
     command.keyId = key.id;
     command.salt = sha256("salt\n" + seed).substr(0, keyIdChars);
     command.hash = hashKeySecret(command.salt, key.secret);
@@ -170,7 +170,7 @@
         Json::Value key;
         key["keyId"] = record.id;
         key["team"] = record.team;
-        key["withdrawn"] = record.withdrawnIndex > 0;
+        key["withdrawnIndex"] = Json::UInt64{record.withdrawnIndex};
         page["keys"].append(key);
     }
     return page;
--- a/packages/membership/confirmation.cpp
+++ b/packages/membership/confirmation.cpp
@@ -4,6 +4,7 @@
 #include "proof.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace Yuccagrade
 {
@@ -64,11 +65,30 @@
     if (now < m_electedAt + proofEndMs) {
         return false;
     }
-    std::erase_if(m_processes, [now](const auto &item) {
-        return item.second.lostAt >= 0 && now >= item.second.lostAt + proofEndMs;
-    });
+    forgetLost(now);
     return std::all_of(m_processes.begin(), m_processes.end(), [index](const auto &item) {
         return item.second.index >= index;
     });
 }
+
+std::uint64_t ConfirmationTracker::confirmedByAll(TimeMs now)
+{
+    if (now < m_electedAt + proofEndMs) {
+        return 0;
+    }
+    forgetLost(now);
+    std::optional<std::uint64_t> lowest;
+    for (const auto &[id, process] : m_processes) {
+        lowest = std::min(lowest.value_or(process.index), process.index);
+    }
+    return lowest.value_or(0);
+}
+
+// A process that is gone counts while it may hold a proof that was issued before.
+void ConfirmationTracker::forgetLost(TimeMs now)
+{
+    std::erase_if(m_processes, [now](const auto &item) {
+        return item.second.lostAt >= 0 && now >= item.second.lostAt + proofEndMs;
+    });
+}
 }
--- a/packages/membership/confirmation.h
+++ b/packages/membership/confirmation.h
@@ -29,6 +29,8 @@
     /// True if no process accepts state before @p index any more: all processes have confirmed it, or every proof that
     /// was issued before the commit at @p committedAt has expired.
     bool isWithdrawalDone(std::uint64_t index, TimeMs committedAt, TimeMs now);
+    /// Returns the highest index that every process which may hold a valid proof has confirmed; 0 if not known yet.
+    std::uint64_t confirmedByAll(TimeMs now);
 
 private:
     struct Process {
@@ -36,6 +38,8 @@
         std::uint64_t index = 0;
         TimeMs lostAt = -1;
     };
+    void forgetLost(TimeMs now);
+
     TimeMs m_electedAt;
     std::map<std::string, Process> m_processes;
 };
--- a/packages/membership/syncclient.h
+++ b/packages/membership/syncclient.h
@@ -39,6 +39,10 @@
     {
         return m_self;
     }
+    const Member &self() const
+    {
+        return m_self;
+    }
     /// Share to report to the leader.
     void setShare(const std::optional<ShareMessage> &share)
     {
--- a/packages/node/controlplane.cpp
+++ b/packages/node/controlplane.cpp
@@ -165,6 +165,7 @@
     }
     if (isCoordinator() != m_coordinating) {
         m_coordinating = !m_coordinating;
+        m_client.self().coordinator = m_coordinating;
         m_log.write(m_coordinating ? Event::CoordinatorLeaseGained : Event::CoordinatorLeaseLost);
     }
 }
--- a/packages/node/controlplane.h
+++ b/packages/node/controlplane.h
@@ -49,6 +49,11 @@
     }
     /// Peer address of the domain's coordinator; empty if unknown.
     std::string coordinatorAddress() const;
+    /// Description of this node as it announces it.
+    const Member &self() const
+    {
+        return m_client.self();
+    }
     /// Announces a change of the upstream, or its absence.
     void setUpstream(const std::optional<UpstreamAnnouncement> &upstream);
     /// Announces that this node takes no new work and gives its lease back.
--- a/packages/node/noderuntime.cpp
+++ b/packages/node/noderuntime.cpp
@@ -1,6 +1,7 @@
 #include "noderuntime.h"
 
 #include "entrygate.h"
+#include "quotaagent.h"
 #include "runtime/processhost.h"
 
 namespace Yuccagrade
@@ -39,6 +40,7 @@
     UpstreamGate m_gate;
     Forwarder m_forwarder;
     ClaimAgent m_claims;
+    QuotaAgent m_quota;
     EntryGate m_entry;
     HttpServer m_callerServer;
 };
@@ -49,6 +51,7 @@
     , m_gate(host.loop(), host.client(), host.log(), host.metrics(), m_plane, m_calls)
     , m_forwarder(host.loop(), host.client(), host.auth(), host.log(), m_gate)
     , m_claims(host.loop(), host.link(), host.log(), m_plane, host.identity())
+    , m_quota(host.loop(), host.link(), host.metrics(), m_plane, host.identity())
     , m_entry({host.loop(),
                host.log(),
                host.metrics(),
@@ -57,8 +60,8 @@
                m_forwarder,
                m_claims,
                m_calls,
-               [](const std::string &, const std::function<void(bool)> &done) {
-                   done(true);
+               [this](const std::string &team, std::function<void(bool)> done) {
+                   m_quota.take(team, std::move(done));
                }},
               host.identity().id,
               host.settings().domain)
@@ -78,6 +81,12 @@
         viewChanged();
     };
     hooks.freshChanged = [](bool) {};
+    hooks.share = [this] {
+        return m_quota.share();
+    };
+    hooks.shareGranted = [this](const ShareMessage &grant, TimeMs sentAt) {
+        m_quota.shareGranted(grant, sentAt);
+    };
     return hooks;
 }
 
@@ -93,6 +102,7 @@
     m_plane.start();
     m_gate.start();
     m_claims.start();
+    m_quota.start();
     return true;
 }
 
@@ -101,6 +111,7 @@
     m_entry.stateChanged();
     m_gate.stateChanged();
     m_claims.stateChanged();
+    m_quota.stateChanged();
 }
 
 void NodeRuntime::viewChanged()
@@ -122,6 +133,7 @@
 
 void NodeRuntime::drain()
 {
+    m_quota.drain();
     m_plane.drain();
     m_entry.drain();
     m_gate.drain();
--- a/packages/protocol/commands.cpp
+++ b/packages/protocol/commands.cpp
@@ -112,12 +112,15 @@
     value["domain"] = domain;
     value["holder"] = holder;
     value["epoch"] = Json::UInt64{epoch};
+    value["fraction"] = fraction;
     return value;
 }
 
 bool SetFloorHolder::fromJson(const Json::Value &value, SetFloorHolder &command)
 {
-    return JsonReader(value).read("domain", command.domain).read("holder", command.holder).read("epoch", command.epoch).ok();
+    JsonReader reader(value);
+    reader.read("domain", command.domain).read("holder", command.holder).read("epoch", command.epoch);
+    return reader.read("fraction", command.fraction).ok();
 }
 
 Json::Value toJson(const Command &command)
--- a/packages/protocol/syncmessages.cpp
+++ b/packages/protocol/syncmessages.cpp
@@ -69,6 +69,7 @@
     value["peerAddress"] = peerAddress;
     value["operatorAddress"] = operatorAddress;
     value["control"] = control;
+    value["coordinator"] = coordinator;
     value["draining"] = draining;
     value["up"] = up;
     put(value, "upstream", upstream);
@@ -84,6 +85,7 @@
                .read("domain", out.domain)
                .read("region", out.region)
                .read("operatorAddress", out.operatorAddress)
+               .read("coordinator", out.coordinator)
                .read("peerAddress", out.peerAddress)
                .read("control", out.control)
                .read("draining", out.draining)
--- a/packages/protocol/syncmessages.h
+++ b/packages/protocol/syncmessages.h
@@ -30,6 +30,7 @@
     std::string peerAddress; ///< advertised address for control messages and data calls
     std::string operatorAddress; ///< control hosts only
     bool control = false;
+    bool coordinator = false; ///< holds the coordinator lease of its domain
     bool draining = false;
     bool up = true; ///< false in a delta: remove the member
     std::optional<UpstreamAnnouncement> upstream;
