--- a/tests/cli/clitest.cpp
+++ b/tests/cli/clitest.cpp
@@ -124,7 +124,7 @@
         std::ofstream("clitest.ini") << "[manifest]\nversion = " << version << "\n[domain d]\nregion = r\n[team a]\nrate = 5\nburst = 5\n";
     }
 
-    ExitCode run(std::vector<std::string> arguments)
+    ExitCode run(const std::vector<std::string> &arguments)
     {
         out.str({});
         err.str({});
@@ -140,7 +140,7 @@
     ExitCode runRemote(std::vector<std::string> arguments)
     {
         arguments.insert(arguments.end(), {"--control", hostA, "--control", hostB, "--secret-file", "clitest-secret"});
-        return run(std::move(arguments));
+        return run(arguments);
     }
 };
 
