Quota: a successful ask ends the back-off at once

Cause: after a back-off to 48 ms the requests that followed the first paid one waited too long and were refused. Change: the next urgent ask is due 3 ms after the one that yielded tokens.

--- a/packages/protocol/borrowmessages.cpp
+++ b/packages/protocol/borrowmessages.cpp
@@ -23,8 +23,8 @@
 
 bool LoanReport::fromJson(const Json::Value &value, LoanReport &out)
 {
-    return JsonReader(value).read("loan", out.loan).read("spent", out.spent).read("returned", out.returned).ok()
-        && isAmount(out.spent) && isAmount(out.returned);
+    return JsonReader(value).read("loan", out.loan).read("spent", out.spent).read("returned", out.returned).ok() && isAmount(out.spent)
+        && isAmount(out.returned);
 }
 
 Json::Value BorrowItem::toJson() const
@@ -86,13 +86,7 @@
 
 bool Loan::fromJson(const Json::Value &value, Loan &out)
 {
-    return JsonReader(value)
-               .read("team", out.team)
-               .read("id", out.id)
-               .read("amount", out.amount)
-               .read("validMs", out.validMs)
-               .ok()
-        && isAmount(out.amount);
+    return JsonReader(value).read("team", out.team).read("id", out.id).read("amount", out.amount).read("validMs", out.validMs).ok() && isAmount(out.amount);
 }
 
 Json::Value BorrowResponse::toJson() const
--- a/packages/quota/quotaclient.cpp
+++ b/packages/quota/quotaclient.cpp
@@ -91,6 +91,7 @@
     }
     if (!response.loans.empty()) {
         m_urgentGap = urgentMs;
+        m_urgentAt = std::min(m_urgentAt, sentAt + urgentMs);
     } else if (sentAt == m_sentAt && m_wanted) {
         m_urgentGap = std::min(2 * m_urgentGap, longestUrgentMs);
     }
--- a/packages/quota/quotadesk.cpp
+++ b/packages/quota/quotadesk.cpp
@@ -30,8 +30,7 @@
 void QuotaDesk::setLimits(const std::string &team, std::uint64_t index, const TokenLimits &limits, TimeMs now)
 {
     refresh(now);
-    m_teams.try_emplace(team, Team{{}, TokenBucket(std::max(now, m_startedAt), m_margin), {}, {}, {}, 0})
-        .first->second.limits.change(index, limits);
+    m_teams.try_emplace(team, Team{{}, TokenBucket(std::max(now, m_startedAt), m_margin), {}, {}, {}, 0}).first->second.limits.change(index, limits);
     applyLimits(now);
 }
 
--- a/packages/quota/shareledger.cpp
+++ b/packages/quota/shareledger.cpp
@@ -38,10 +38,7 @@
     });
 }
 
-std::optional<ShareMessage> ShareLedger::grant(const SyncRequest &request,
-                                               const std::optional<CoordinatorLeaseGrant> &lease,
-                                               TimeMs contactAt,
-                                               TimeMs now)
+std::optional<ShareMessage> ShareLedger::grant(const SyncRequest &request, const std::optional<CoordinatorLeaseGrant> &lease, TimeMs contactAt, TimeMs now)
 {
     ShareMessage grant;
     grantFloor(request, contactAt, now, grant);
@@ -78,11 +75,7 @@
     grant.floorMs = std::min(contactAt, now) + floorMs - now;
 }
 
-void ShareLedger::grantLeased(const SyncRequest &request,
-                              const CoordinatorLeaseGrant &lease,
-                              TimeMs contactAt,
-                              TimeMs now,
-                              ShareMessage &grant)
+void ShareLedger::grantLeased(const SyncRequest &request, const CoordinatorLeaseGrant &lease, TimeMs contactAt, TimeMs now, ShareMessage &grant)
 {
     Leased &leased = m_leased[request.self.domain];
     double fraction = (1 - floorPart) * target();
@@ -153,8 +146,7 @@
 
 double ShareLedger::leasedInUse(const Leased &leased, TimeMs contactAt) const
 {
-    return std::max(contactAt < leased.expiry ? leased.fraction : 0,
-                    contactAt < leased.formerExpiry ? leased.formerFraction : 0);
+    return std::max(contactAt < leased.expiry ? leased.fraction : 0, contactAt < leased.formerExpiry ? leased.formerFraction : 0);
 }
 
 bool ShareLedger::isFloorFree(const std::string &domain, TimeMs now) const
--- a/packages/quota/shareledger.h
+++ b/packages/quota/shareledger.h
@@ -35,10 +35,7 @@
     /// Floor holders in the replicated state by domain.
     void setFloors(std::map<std::string, FloorRecord> floors);
     /// Returns the share for the sender of a sync request. @p lease is the coordinator lease in the same response.
-    std::optional<ShareMessage> grant(const SyncRequest &request,
-                                      const std::optional<CoordinatorLeaseGrant> &lease,
-                                      TimeMs contactAt,
-                                      TimeMs now);
+    std::optional<ShareMessage> grant(const SyncRequest &request, const std::optional<CoordinatorLeaseGrant> &lease, TimeMs contactAt, TimeMs now);
     /// Returns the floor records to commit now. The same ones are returned until setFloors() shows them.
     std::map<std::string, FloorRecord> proposals(TimeMs now);
     /// Returns the sum of all fractions that may be in use.
@@ -55,11 +52,7 @@
     double target() const;
     double leasedInUse(const Leased &leased, TimeMs contactAt) const;
     void grantFloor(const SyncRequest &request, TimeMs contactAt, TimeMs now, ShareMessage &grant);
-    void grantLeased(const SyncRequest &request,
-                     const CoordinatorLeaseGrant &lease,
-                     TimeMs contactAt,
-                     TimeMs now,
-                     ShareMessage &grant);
+    void grantLeased(const SyncRequest &request, const CoordinatorLeaseGrant &lease, TimeMs contactAt, TimeMs now, ShareMessage &grant);
     bool isFloorFree(const std::string &domain, TimeMs now) const;
 
     TimeMs m_electedAt;
--- a/tests/quota/quotatest.cpp
+++ b/tests/quota/quotatest.cpp
@@ -44,8 +44,7 @@
     cluster.served = cluster.refused = 0;
     cluster.run(60'000, load);
     const double percent = 100.0 * static_cast<double>(cluster.refused) / static_cast<double>(cluster.served + cluster.refused);
-    BOOST_TEST_MESSAGE("utilization " << utilization << " burst " << burst << ": refused " << percent << "%, served "
-                                      << cluster.served);
+    BOOST_TEST_MESSAGE("utilization " << utilization << " burst " << burst << ": refused " << percent << "%, served " << cluster.served);
     return percent;
 }
 }
@@ -264,15 +263,24 @@
 {
     for (const double utilization : {0.2, 0.5, 0.8, 0.95}) {
         for (const double burst : {200.0, 400.0}) {
-            BOOST_TEST(refusals(utilization, burst, [](TimeMs, int domain) {
-                return domain == 0 ? 1.0 : 0.0;
-            }) <= 0.1);
-            BOOST_TEST(refusals(utilization, burst, [](TimeMs now, int domain) {
-                return now / 3'000 % 3 == domain ? 1.0 : 0.0;
-            }) <= 0.1);
-            BOOST_TEST(refusals(utilization, burst, [](TimeMs, int) {
-                return 1.0 / 3;
-            }) <= 0.1);
+            BOOST_TEST(refusals(utilization,
+                                burst,
+                                [](TimeMs, int domain) {
+                                    return domain == 0 ? 1.0 : 0.0;
+                                })
+                       <= 0.1);
+            BOOST_TEST(refusals(utilization,
+                                burst,
+                                [](TimeMs now, int domain) {
+                                    return now / 3'000 % 3 == domain ? 1.0 : 0.0;
+                                })
+                       <= 0.1);
+            BOOST_TEST(refusals(utilization,
+                                burst,
+                                [](TimeMs, int) {
+                                    return 1.0 / 3;
+                                })
+                       <= 0.1);
         }
     }
 }
