--- a/apps/yuccagraded/main.cpp
+++ b/apps/yuccagraded/main.cpp
@@ -28,12 +28,14 @@
 
 int main(int argc, char **argv)
 {
-    po::options_description options("Usage: yuccagraded --settings FILE\n\nExit codes: 0 drained, 1 cannot start, 2 usage, 3 findings in the settings\n\nOptions");
+    po::options_description options("Usage: yuccagraded [--settings] FILE\n\nExit codes: 0 drained, 1 cannot start, 2 usage, 3 findings in the settings\n\nOptions");
     options.add_options()("settings", po::value<std::string>(), "INI file with the settings of this process")("help", "show this text")(
         "version", "show the version");
     try {
         po::variables_map values;
-        po::store(po::parse_command_line(argc, argv, options), values);
+        po::positional_options_description positional;
+        positional.add("settings", 1);
+        po::store(po::command_line_parser(argc, argv).options(options).positional(positional).run(), values);
         if (values.count("help") > 0) {
             std::cout << options;
             return 0;
@@ -43,7 +45,7 @@
             return 0;
         }
         if (values.count("settings") == 0) {
-            std::cerr << "yuccagraded: --settings FILE is missing; see --help\n";
+            std::cerr << "yuccagraded: the settings file is missing; see --help\n";
             return exitUsage;
         }
         return run(values["settings"].as<std::string>());
