--- a/tests/consensus/raftcoretest.cpp
+++ b/tests/consensus/raftcoretest.cpp
@@ -63,6 +63,9 @@
     RaftCore core = coreOfThree({5, "b"}, {});
     BOOST_TEST(!core.handleVote({5, "c", "da", 9, 5, false}, 0).response.granted);
     BOOST_TEST(core.handleVote({5, "b", "da", 9, 5, false}, 0).response.granted);
+    const auto first = coreOfThree({5, ""}, {}).handleVote({5, "c", "da", 9, 5, false}, 0);
+    BOOST_TEST(first.actions.persistHard);
+    BOOST_TEST((first.actions.hard == HardState{5, "c"}));
     const auto higher = core.handleVote({6, "c", "da", 9, 5, false}, 0);
     BOOST_TEST(higher.response.granted);
     BOOST_TEST(higher.actions.persistHard);
@@ -117,6 +120,60 @@
     BOOST_TEST(core.log().termAt(3) == 5U);
 }
 
+// Guards against a removed or half-connected host that ends the term of a leader which the others still hear.
+BOOST_AUTO_TEST_CASE(hostThatHearsItsLeaderIgnoresElections)
+{
+    RaftCore core = coreOfThree({5, ""}, {});
+    core.handleAppend({5, "b", 1, 1, {}, 1, 10}, 10);
+    for (const bool preVote : {true, false}) {
+        BOOST_TEST(!core.handleVote({7, "c", "da", 9, 5, preVote}, 400).response.granted);
+    }
+    BOOST_TEST(core.term() == 5U);
+    BOOST_TEST(core.handleVote({7, "c", "da", 9, 5, true}, 511).response.granted);
+}
+
+// Guards against a group without a possible leader: the longest log is on a host that an uncommitted entry removes.
+BOOST_AUTO_TEST_CASE(hostOfAnUncommittedRemovalCampaigns)
+{
+    StoredState stored;
+    stored.hard = {5, ""};
+    stored.snapshot = {1, 1, threeMembers(), "s"};
+    const std::vector<GroupMember> others{threeMembers()[1], threeMembers()[2]};
+    stored.entries = {{2, 5, EntryKind::Members, toJsonList(others)}};
+    RaftCore core({"a", "da", {}}, stored, RaftOptions(), Random(1), 0);
+    BOOST_TEST(!core.isVoter());
+    BOOST_TEST(core.tick(2000).requests.size() == 2U);
+    core.handleVoteResponse("b", {5, 6, true, true, "db"}, 2000);
+    BOOST_TEST(core.term() == 5U); // its own vote does not count in the new group
+    core.handleVoteResponse("c", {5, 6, true, true, "dc"}, 2000);
+    BOOST_TEST(core.term() == 6U);
+}
+
+// Guards against a new voter that slows the group down because it lacks the log, and against a new disk that takes over
+// a vote in one step, so that majorities before and after need not overlap.
+BOOST_AUTO_TEST_CASE(newDiskIsALearnerUntilItHasCaughtUp)
+{
+    RaftCore core = coreOfThree({4, ""}, {});
+    makeLeader(core);
+    core.handleAppendResponse("b", {5, true, 2, 2000, "db"}, 2010);
+    core.handleAppendResponse("c", {5, false, 0, 2000, "new"}, 2010);
+    for (int i = 0; i < 50; ++i) {
+        core.propose(Json::Value(i), 2010);
+    }
+    BOOST_REQUIRE(!core.addMember("c", "c", 2010).response.error);
+    const std::uint64_t last = core.log().lastIndex();
+    core.handleAppendResponse("b", {5, true, last, 2010, "db"}, 2020);
+    const auto memberC = [&core] {
+        return *findMember(core.log().members(), "c");
+    };
+    core.handleAppendResponse("c", {5, true, last - 40, 2010, "new"}, 2020);
+    core.tick(2030);
+    BOOST_TEST((memberC() == GroupMember{"c", "c", "", false}));
+    core.handleAppendResponse("c", {5, true, last, 2020, "new"}, 2030);
+    core.tick(2040);
+    BOOST_TEST((memberC() == GroupMember{"c", "c", "new", true}));
+}
+
 // Guards against unbounded memory when a leader takes proposals that nobody acknowledges.
 BOOST_AUTO_TEST_CASE(uncommittedEntriesAreBounded)
 {
--- a/tests/consensus/simcluster.cpp
+++ b/tests/consensus/simcluster.cpp
@@ -232,9 +232,22 @@
 
 void SimCluster::loseDisk(int index)
 {
+    Host &host = m_hosts[index];
+    crash(index);
+    host.formerDisks.emplace_back(host.diskId, host.disk);
+    host.disk = {};
+    host.diskId = host.id + std::to_string(++m_nextDisk);
+}
+
+void SimCluster::returnDisk(int index)
+{
+    Host &host = m_hosts[index];
+    if (host.formerDisks.empty()) {
+        return;
+    }
     crash(index);
-    m_hosts[index].disk = {};
-    m_hosts[index].diskId = m_hosts[index].id + std::to_string(++m_nextDisk);
+    std::swap(host.diskId, host.formerDisks.back().first);
+    std::swap(host.disk, host.formerDisks.back().second);
 }
 
 void SimCluster::isolate(int host)
@@ -297,7 +310,7 @@
 void SimCluster::randomFault()
 {
     const int host = static_cast<int>(m_random.below(m_hosts.size()));
-    switch (m_random.below(8)) {
+    switch (m_random.below(9)) {
     case 0:
         crash(host);
         break;
@@ -325,6 +338,11 @@
     case 6:
         admit();
         break;
+    case 7:
+        if (mayLoseDisk(host)) {
+            returnDisk(host);
+        }
+        break;
     default:
         break;
     }
--- a/tests/consensus/simcluster.h
+++ b/tests/consensus/simcluster.h
@@ -38,6 +38,8 @@
     void start(int host);
     /// Crashes the host and gives it an empty disk with a new id.
     void loseDisk(int host);
+    /// Crashes the host and exchanges its disk with the one it had before, as when a wrong disk was mounted.
+    void returnDisk(int host);
     void isolate(int host);
     void connectAll();
     /// Proposes a new command on every host that leads.
@@ -62,6 +64,7 @@
         std::string id;
         std::string diskId;
         StoredState disk;
+        std::vector<std::pair<std::string, StoredState>> formerDisks;
         std::unique_ptr<RaftCore> core;
         int incarnation = 0;
         std::string state; ///< chain over all applied entries
