Do not repeat a refused append request at once

Cause: in a trial with entries that are not persisted, leader and follower exchanged refused requests without pause, and the replica test did not end. Change: a refusal that does not move the peer's next index waits for the next heartbeat; header comments name the undetected disk faults; the simulation also restarts hosts at once.

--- a/packages/consensus/raftcore.h
+++ b/packages/consensus/raftcore.h
@@ -61,7 +61,10 @@
 /// entry was committed, a majority of disks held it, so a founder that lost its own disk meets at least one non-empty
 /// host unless all disks of the group are lost, and an unreachable host blocks founding. Compared with a bootstrap flag
 /// of the operator this cannot be repeated by mistake with a start script; the price is that all initial members must
-/// be up once for the first start.
+/// be up once for the first start. If the founder's disk is lost after another host has voted but before any host
+/// stored the group entry, nothing was committed and the operator clears the data folders and starts again.
+///
+/// Not detected: a data folder that was restored from a backup, since its disk id is that of the newer content.
 class RaftCore
 {
 public:
--- a/packages/consensus/raftleader.cpp
+++ b/packages/consensus/raftleader.cpp
@@ -113,6 +113,7 @@
         const TimeMs answered = -1; // contact with another disk says nothing about this one
         progress = Progress{response.diskId, 0, progress.next, answered, -1, -1};
     }
+    const std::uint64_t formerNext = progress.next;
     progress.answeredSentMs = std::max(progress.answeredSentMs, std::min(response.sentMs, now));
     if (response.success) {
         progress.match = std::max(progress.match, std::min(response.match, m_log.lastIndex()));
@@ -125,7 +126,10 @@
     }
     const GroupMember target = *member;
     leaderCommit();
-    if (m_role == Role::Leader && progress.next <= m_log.lastIndex()) {
+    // Repeating what was just refused would make both hosts busy at the speed of the network, for example when a disk
+    // lost entries that it had reported as synced; the next heartbeat repeats it.
+    const bool advanced = response.success || progress.next != formerNext;
+    if (m_role == Role::Leader && advanced && progress.next <= m_log.lastIndex()) {
         sendTo(target, now, false);
     }
     return takeActions();
--- a/packages/consensus/storage.h
+++ b/packages/consensus/storage.h
@@ -19,7 +19,8 @@
 /// Files: `disk-id` (random, made once), `log` (records of term, vote and entries, each one write), `snapshot`.
 /// A record's entries replace stored entries from the first one's index on, so the log is only appended to; it is
 /// rewritten when a snapshot makes its beginning obsolete. After a failed write the content of the file is uncertain,
-/// so all later writes fail with StorageFailed until the folder is opened again.
+/// so all later writes fail with StorageFailed until the folder is opened again. A last record whose bytes changed after
+/// its sync cannot be told from a torn write and is truncated as well.
 class Storage
 {
 public:
--- a/tests/consensus/raftcoretest.cpp
+++ b/tests/consensus/raftcoretest.cpp
@@ -174,6 +174,17 @@
     BOOST_TEST((memberC() == GroupMember{"c", "c", "new", true}));
 }
 
+// Guards against two hosts that exchange requests without pause when a disk lost entries that it had acknowledged.
+BOOST_AUTO_TEST_CASE(refusalBelowTheKnownMatchIsNotRepeatedAtOnce)
+{
+    RaftCore core = coreOfThree({4, ""}, {});
+    makeLeader(core);
+    core.handleAppendResponse("b", {5, true, 2, 2000, "db"}, 2010);
+    core.propose(Json::Value(1), 2010);
+    BOOST_TEST(core.handleAppendResponse("c", {5, false, 0, 2000, "dc"}, 2010).requests.size() == 1U);
+    BOOST_TEST(core.handleAppendResponse("b", {5, false, 0, 2010, "db"}, 2020).requests.empty());
+}
+
 // Guards against unbounded memory when a leader takes proposals that nobody acknowledges.
 BOOST_AUTO_TEST_CASE(uncommittedEntriesAreBounded)
 {
--- a/tests/consensus/simcluster.cpp
+++ b/tests/consensus/simcluster.cpp
@@ -313,6 +313,9 @@
     switch (m_random.below(9)) {
     case 0:
         crash(host);
+        if (m_random.below(2) == 0) {
+            start(host);
+        }
         break;
     case 1:
         isolate(host);
