--- a/tests/bench/decisions.cpp
+++ b/tests/bench/decisions.cpp
@@ -101,6 +101,7 @@
     Random random(seed);
     Balancer subject("x");
     std::vector<UpstreamView> view;
+    view.reserve(15);
     for (int i = 0; i < 15; ++i) {
         view.push_back({"u" + std::to_string(i), i % 3 == 0 ? "x" : "y", 1, 40});
     }
