Check the times of claim copies at compile time

Cause: the safety of a restarted replica rests on the copy time being shorter than the restart hold less drift. The drain check at the start of queued requests could never be true, because the queue is empty by then. Change: static_assert for the two times; the unreachable check is removed.

--- a/packages/claims/claimlimits.h
+++ b/packages/claims/claimlimits.h
@@ -16,6 +16,7 @@
 /// Both copies must be taken within this time. It is shorter than restartHoldMs less drift, so a sealed replica that
 /// restarts meets the other sealed replica before it can grant again.
 inline constexpr TimeMs maxCopyMs = 8'000;
+static_assert(maxCopyMs * 105 / 95 < restartHoldMs * 95 / 105, "two copies must be taken before a restarted source can grant again");
 /// A copy or page without a response is requested again after this time.
 inline constexpr TimeMs copyRetryMs = 1'000;
 /// Claims per page of a copy: about 450 KB of JSON.
--- a/packages/policy/admission.cpp
+++ b/packages/policy/admission.cpp
@@ -84,10 +84,11 @@
     m_draining = false;
 }
 
+// Finds nothing to start while draining: drain() has emptied the queue, and offer() adds nothing.
 AdmissionActions Admission::pump(double nowMs)
 {
     AdmissionActions actions;
-    while (!m_draining && m_inFlight < m_limit.limit()) {
+    while (m_inFlight < m_limit.limit()) {
         const std::optional<QueuedRequest> next = m_queue.pop(nowMs);
         if (!next) {
             break;
