--- a/tests/support/selftest/fleettest.cpp
+++ b/tests/support/selftest/fleettest.cpp
@@ -23,7 +23,7 @@
 Settings settingsOf(const Fleet &fleet, const std::string &id)
 {
     Findings findings;
-    const Settings settings = readSettings(fleet.folder() + '/' + id + ".ini", findings);
+    Settings settings = readSettings(fleet.folder() + '/' + id + ".ini", findings);
     BOOST_TEST(findings.empty(), toText(findings));
     return settings;
 }
