--- a/packages/config/manifest.cpp
+++ b/packages/config/manifest.cpp
@@ -7,8 +7,6 @@
 {
 namespace
 {
-constexpr std::array<std::string_view, priorityCount> priorityNames{"critical", "normal", "bulk"};
-
 template<typename Spec>
 const Spec *findByName(const std::vector<Spec> &list, std::string_view name)
 {
@@ -19,11 +17,6 @@
 }
 }
 
-std::string_view priorityName(Priority priority)
-{
-    return priorityNames[static_cast<std::size_t>(priority)];
-}
-
 bool RouteSpec::allows(std::string_view team) const
 {
     return allTeams || std::find(teams.begin(), teams.end(), team) != teams.end();
