--- a/packages/protocol/syncmessages.cpp
+++ b/packages/protocol/syncmessages.cpp
@@ -67,6 +67,7 @@
     value["domain"] = domain;
     value["region"] = region;
     value["peerAddress"] = peerAddress;
+    value["operatorAddress"] = operatorAddress;
     value["control"] = control;
     value["draining"] = draining;
     value["up"] = up;
@@ -82,6 +83,7 @@
                .read("revision", out.revision)
                .read("domain", out.domain)
                .read("region", out.region)
+               .read("operatorAddress", out.operatorAddress)
                .read("peerAddress", out.peerAddress)
                .read("control", out.control)
                .read("draining", out.draining)
@@ -101,11 +103,7 @@
 
 bool StateConfirmation::fromJson(const Json::Value &value, StateConfirmation &out)
 {
-    return JsonReader(value)
-        .read("id", out.id)
-        .read("incarnation", out.incarnation)
-        .read("stateIndex", out.stateIndex)
-        .ok();
+    return JsonReader(value).read("id", out.id).read("incarnation", out.incarnation).read("stateIndex", out.stateIndex).ok();
 }
 
 Json::Value MemberReport::toJson() const
@@ -120,12 +118,7 @@
 
 bool MemberReport::fromJson(const Json::Value &value, MemberReport &out)
 {
-    return JsonReader(value)
-        .read("base", out.base)
-        .read("version", out.version)
-        .readList("members", out.members)
-        .readList("confirmed", out.confirmed)
-        .ok();
+    return JsonReader(value).read("base", out.base).read("version", out.version).readList("members", out.members).readList("confirmed", out.confirmed).ok();
 }
 
 Json::Value FreshnessProof::toJson() const
@@ -222,6 +215,7 @@
     value["leasedFraction"] = leasedFraction;
     value["leasedMs"] = Json::Int64(leasedMs);
     value["renewalOnly"] = renewalOnly;
+    value["confirmedIndex"] = Json::UInt64(confirmedIndex);
     value["handBack"] = handBack;
     return value;
 }
@@ -234,6 +228,7 @@
                .read("leasedFraction", out.leasedFraction)
                .read("leasedMs", out.leasedMs)
                .read("renewalOnly", out.renewalOnly)
+               .read("confirmedIndex", out.confirmedIndex)
                .read("handBack", out.handBack)
                .ok()
         && isFraction(out.floorFraction) && isFraction(out.leasedFraction);
@@ -262,8 +257,7 @@
                .read("wantsLease", out.wantsLease)
                .read("leaseLeftMs", out.leaseLeftMs)
                .ok()
-        && takeObject(value, "self", out.self) && takeObject(value, "report", out.report)
-        && take(value, "share", out.share);
+        && takeObject(value, "self", out.self) && takeObject(value, "report", out.report) && take(value, "share", out.share);
 }
 
 Json::Value SyncResponse::toJson() const
@@ -291,7 +285,7 @@
                .read("coordinatorAddress", out.coordinatorAddress)
                .read("ackedReport", out.ackedReport)
                .ok()
-        && takeObject(value, "state", out.state) && takeObject(value, "view", out.view)
-        && take(value, "lease", out.lease) && take(value, "proof", out.proof) && take(value, "share", out.share);
+        && takeObject(value, "state", out.state) && takeObject(value, "view", out.view) && take(value, "lease", out.lease) && take(value, "proof", out.proof)
+        && take(value, "share", out.share);
 }
 }
--- a/packages/protocol/syncmessages.h
+++ b/packages/protocol/syncmessages.h
@@ -28,6 +28,7 @@
     std::string domain;
     std::string region;
     std::string peerAddress; ///< advertised address for control messages and data calls
+    std::string operatorAddress; ///< control hosts only
     bool control = false;
     bool draining = false;
     bool up = true; ///< false in a delta: remove the member
@@ -119,6 +120,7 @@
     double leasedFraction = 0;
     TimeMs leasedMs = 0; ///< remaining validity
     bool renewalOnly = false; ///< grants only: valid only for a part that is still held
+    std::uint64_t confirmedIndex = 0; ///< grants only: state index that every known process has confirmed
     bool handBack = false; ///< reports only: the requester has stopped using its share
 
     Json::Value toJson() const;
--- a/tests/membership/membershiptest.cpp
+++ b/tests/membership/membershiptest.cpp
@@ -80,6 +80,22 @@
     BOOST_TEST(!holder.issue(6, 2'000).has_value());
 }
 
+// Guards against proofs and leases that a slow response makes longer, and against responses to abandoned requests.
+BOOST_AUTO_TEST_CASE(clientCountsFromSendingTime)
+{
+    SyncProcess process(node("h1", 1), {"h0"}, 5);
+    Random random(1);
+    BOOST_TEST(process.client.poll(1'000, random).has_value());
+    SyncResponse response;
+    response.proof = FreshnessProof{5, 2'100};
+    response.lease = CoordinatorLeaseGrant{2'100, false};
+    process.client.answered(response, 900, 1'300);
+    BOOST_TEST(!process.proofs.isValid(5, 1'300));
+    process.client.answered(response, 1'000, 1'300);
+    BOOST_TEST(process.proofs.validUntil(5, 1'300) == 2'900);
+    BOOST_TEST(process.lease.expiry() == 2'900);
+}
+
 // Guards against a newer proof that disables a process whose state is only proven by an older one.
 BOOST_AUTO_TEST_CASE(olderProofStaysUsableUntilItExpires)
 {
@@ -219,7 +235,7 @@
     SyncRequest request = leaseRequest("a", 7);
     request.self.upstream = UpstreamAnnouncement{"status", 80, 40, 330, true};
     request.report = {1, 2, {node("x", 3)}, {{"x", 3, 4}}};
-    request.share = ShareMessage{0.25, 600'000, 0.5, 4'000, true, false};
+    request.share = ShareMessage{0.25, 600'000, 0.5, 4'000, true, 8, false};
     SyncRequest parsedRequest;
     BOOST_TEST(SyncRequest::fromJson(request.toJson(), parsedRequest));
     BOOST_TEST(parsedRequest.toJson() == request.toJson());
