--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -143,7 +143,7 @@
 void Fleet::start(Host &host)
 {
     if (!host.daemon || !host.daemon->running()) {
-        host.daemon = std::make_unique<Process>(std::vector<std::string>{YUCCAGRADED_PROGRAM, path(host, ".ini")}, path(host, ".log"));
+        host.daemon = std::make_unique<Process>(std::vector<std::string>{YUCCAGRADED_PROGRAM, "--settings", path(host, ".ini")}, path(host, ".log"));
     }
     if (host.isControl || (host.upstream && host.upstream->running())) {
         return;
