Form all claim groups at once; count only dispatched requests in the throttle

Cause: (1) claim groups were proposed one per 0.5 s, so actions had no group for 8 s after the first manifest; (2) refusals for want of an upstream counted as failures of the services, so a client that probed during start closed its own throttle for seconds. Ruled out for (2): the queue of the upstream's node, which was empty. Change: one proposal per group and period with a running count of loads; the throttle counts requests that were sent at least once; connections of actions are closed after use.

--- a/apps/yuccagraded/main.cpp
+++ b/apps/yuccagraded/main.cpp
@@ -28,9 +28,10 @@
 
 int main(int argc, char **argv)
 {
-    po::options_description options("Usage: yuccagraded [--settings] FILE\n\nExit codes: 0 drained, 1 cannot start, 2 usage, 3 findings in the settings\n\nOptions");
-    options.add_options()("settings", po::value<std::string>(), "INI file with the settings of this process")("help", "show this text")(
-        "version", "show the version");
+    po::options_description options(
+        "Usage: yuccagraded [--settings] FILE\n\nExit codes: 0 drained, 1 cannot start, 2 usage, 3 findings in the settings\n\nOptions");
+    options.add_options()("settings", po::value<std::string>(), "INI file with the settings of this process")("help", "show this text")("version",
+                                                                                                                                        "show the version");
     try {
         po::variables_map values;
         po::positional_options_description positional;
--- a/packages/control/clustercore.cpp
+++ b/packages/control/clustercore.cpp
@@ -244,10 +244,9 @@
     if (!action) {
         return;
     }
-    m_host.link().call(action->address, syncMethod, action->request.toJson(), syncTimeoutMs,
-                       [this, now](std::error_code error, const Json::Value &result) {
-                           answerSync(error, result, now);
-                       });
+    m_host.link().call(action->address, syncMethod, action->request.toJson(), syncTimeoutMs, [this, now](std::error_code error, const Json::Value &result) {
+        answerSync(error, result, now);
+    });
 }
 
 void ClusterCore::answerSync(std::error_code error, const Json::Value &result, TimeMs sentAt)
--- a/packages/control/leaderduties.cpp
+++ b/packages/control/leaderduties.cpp
@@ -30,20 +30,20 @@
     m_nextDue = now + periodMs;
     noteDown(leader, now);
     noteInForce(leader, now);
-    if (m_core.state().manifest()->version == 0 || m_pending) {
+    if (m_core.state().manifest()->version == 0 || m_pending > 0) {
         return;
     }
     updateFloors(leader, now);
-    if (!m_pending && now - leader.electedAt > settleMs) {
+    if (m_pending == 0 && now - leader.electedAt > settleMs) {
         updateGroups(leader, now);
     }
 }
 
 void LeaderDuties::propose(const Command &command)
 {
-    m_pending = true;
+    ++m_pending;
     m_core.propose(toJson(command), [this](std::error_code, const ApplyResult &) {
-        m_pending = false;
+        --m_pending;
     });
 }
 
@@ -102,19 +102,19 @@
     return *std::next(regions.begin(), group % static_cast<int>(regions.size()));
 }
 
-int LeaderDuties::load(const std::string &nodeId) const
+LeaderDuties::Loads LeaderDuties::loads() const
 {
-    int count = 0;
+    Loads loads;
     for (const ClaimGroup &group : m_core.state().claimGroups()) {
-        count += static_cast<int>(std::count_if(group.replicas.begin(), group.replicas.end(), [&](const ClaimReplicaSpec &replica) {
-            return replica.id == nodeId;
-        }));
+        for (const ClaimReplicaSpec &replica : group.replicas) {
+            ++loads[replica.id];
+        }
     }
-    return count;
+    return loads;
 }
 
 // Fills up to three replicas: domains without a replica first, then the region of the group, then the least loaded node.
-std::vector<ClaimReplicaSpec> LeaderDuties::choose(const ClaimGroup &group, const std::vector<ClaimReplicaSpec> &kept) const
+std::vector<ClaimReplicaSpec> LeaderDuties::choose(const ClaimGroup &group, const std::vector<ClaimReplicaSpec> &kept, Loads &loads) const
 {
     std::vector<ClaimReplicaSpec> chosen = kept;
     const std::string region = regionOf(group.number);
@@ -131,7 +131,7 @@
             const bool sameDomain = std::any_of(chosen.begin(), chosen.end(), [&](const ClaimReplicaSpec &replica) {
                 return replica.domain == member.domain;
             });
-            std::tuple rank{member.region != region, sameDomain, load(member.id), member.id};
+            std::tuple rank{member.region != region, sameDomain, loads[member.id], member.id};
             if (!best || rank < bestRank) {
                 best = m_core.view().find(member.id);
                 bestRank = std::move(rank);
@@ -140,14 +140,15 @@
         if (!best) {
             break;
         }
+        ++loads[best->id];
         chosen.push_back({best->id, best->domain, best->peerAddress, best->incarnation});
     }
     return chosen;
 }
 
-// Changes one group at a time, so that loads are counted on committed state.
 void LeaderDuties::updateGroups(LeaderState &leader, TimeMs now)
 {
+    Loads counts = loads();
     for (const ClaimGroup &group : m_core.state().claimGroups()) {
         std::vector<ClaimReplicaSpec> kept;
         for (ClaimReplicaSpec replica : group.replicas) {
@@ -163,14 +164,13 @@
         if (complete || tooSoon) {
             continue;
         }
-        const auto replicas = choose(group, kept);
+        const auto replicas = choose(group, kept, counts);
         if (replicas.size() != claimReplicaCount) {
             continue;
         }
         m_changedAt[group.number] = now;
         m_core.host().log().write(Event::ClaimGroupChanged, {{"group", std::to_string(group.number)}, {"epoch", std::to_string(group.epoch + 1)}});
         propose(SetClaimGroup{group.number, group.epoch + 1, replicas});
-        return;
     }
 }
 
--- a/packages/net/httpclient.cpp
+++ b/packages/net/httpclient.cpp
@@ -281,6 +281,8 @@
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call.freshConnection ? 1L : 0L);
+    // A connection per action would otherwise stay open and fill the connection limit of the upstream.
+    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, call.freshConnection ? 1L : 0L);
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(std::max<TimeMs>(1, call.timeoutMs)));
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, connectTimeoutMs);
     if (!sourceIp.empty()) {
--- a/packages/node/claimagent.cpp
+++ b/packages/node/claimagent.cpp
@@ -156,7 +156,10 @@
     m_pending.push_back(pending);
     const Json::Value message = request.toJson();
     for (int i = 0; i < static_cast<int>(ticket->addresses.size()); ++i) {
-        m_link.call(ticket->addresses[static_cast<std::size_t>(i)], claimMethod, message, timeoutMs,
+        m_link.call(ticket->addresses[static_cast<std::size_t>(i)],
+                    claimMethod,
+                    message,
+                    timeoutMs,
                     [this, pending, i](std::error_code error, const Json::Value &result) {
                         ClaimAnswer answer;
                         const bool ok = !error && ClaimAnswer::fromJson(result, answer);
@@ -212,8 +215,9 @@
         }
         if (hosted.wasAbstaining && !hosted.replica->isAbstaining()) {
             hosted.wasAbstaining = false;
-            m_log.write(Event::ClaimReplicaReady,
-                        {{"group", std::to_string(key.first)}, {"epoch", std::to_string(key.second)}, {"claims", std::to_string(hosted.replica->claimCount())}});
+            m_log.write(
+                Event::ClaimReplicaReady,
+                {{"group", std::to_string(key.first)}, {"epoch", std::to_string(key.second)}, {"claims", std::to_string(hosted.replica->claimCount())}});
         }
     }
 }
@@ -225,17 +229,16 @@
         return;
     }
     const std::string address = found->second.sources[static_cast<std::size_t>(send.source)];
-    m_link.call(address, copyMethod, send.request.toJson(), copyTimeoutMs,
-                [this, key, source = send.source](std::error_code error, const Json::Value &result) {
-                    CopyAnswer answer;
-                    const auto hosted = m_hosted.find(key);
-                    if (error || hosted == m_hosted.end() || !CopyAnswer::fromJson(result, answer)) {
-                        return;
-                    }
-                    if (const auto next = hosted->second.replica->onCopyAnswer(source, answer, m_loop.clock().now())) {
-                        sendCopy(key, *next);
-                    }
-                });
+    m_link.call(address, copyMethod, send.request.toJson(), copyTimeoutMs, [this, key, source = send.source](std::error_code error, const Json::Value &result) {
+        CopyAnswer answer;
+        const auto hosted = m_hosted.find(key);
+        if (error || hosted == m_hosted.end() || !CopyAnswer::fromJson(result, answer)) {
+            return;
+        }
+        if (const auto next = hosted->second.replica->onCopyAnswer(source, answer, m_loop.clock().now())) {
+            sendCopy(key, *next);
+        }
+    });
 }
 
 ClaimAgent::Hosted *ClaimAgent::find(int group, std::int64_t epoch)
--- a/packages/node/controlplane.cpp
+++ b/packages/node/controlplane.cpp
@@ -11,12 +11,7 @@
 constexpr auto syncMethod = "sync";
 }
 
-ControlPlane::ControlPlane(EventLoop &loop,
-                           PeerLink &link,
-                           EventLog &log,
-                           const Settings &settings,
-                           const PeerIdentity &identity,
-                           ControlPlaneHooks hooks)
+ControlPlane::ControlPlane(EventLoop &loop, PeerLink &link, EventLog &log, const Settings &settings, const PeerIdentity &identity, ControlPlaneHooks hooks)
     : m_loop(loop)
     , m_link(link)
     , m_log(log)
--- a/packages/node/entrygate.cpp
+++ b/packages/node/entrygate.cpp
@@ -248,7 +248,9 @@
         return;
     }
     const TimeMs timeout = std::min(claimTimeoutMs, request->deadline - m_parts.loop.clock().now());
-    m_parts.claims.claim(request->meta.team, request->exchange->request().header(Headers::idempotencyKey), std::max<TimeMs>(1, timeout),
+    m_parts.claims.claim(request->meta.team,
+                         request->exchange->request().header(Headers::idempotencyKey),
+                         std::max<TimeMs>(1, timeout),
                          [this, request](const std::shared_ptr<ClaimTicket> &ticket) {
                              takeClaim(request, ticket);
                          });
@@ -318,8 +320,8 @@
     if (request->upstream == m_nodeId) {
         request->gateCall = m_parts.gate.offer(request->meta, forwardedRequestHeaders(incoming.headers), incoming.body, done);
     } else {
-        request->peerCall = m_parts.forwarder.send(m_directory.address(request->upstream), request->meta, forwardedRequestHeaders(incoming.headers),
-                                                   incoming.body, done);
+        request->peerCall =
+            m_parts.forwarder.send(m_directory.address(request->upstream), request->meta, forwardedRequestHeaders(incoming.headers), incoming.body, done);
     }
 }
 
@@ -418,6 +420,8 @@
     if (request->mayHaveRun) {
         problem.outcome = Outcome::MayHaveRun;
     }
+    // A refusal before any attempt says nothing about the load of the services, and costs them nothing.
+    request->throttled = request->throttled && !request->tried.empty();
     m_parts.metrics.count("yuccagrade_refused_total", "reason=\"" + std::string(eventInfo(problem.event).name) + '"');
     m_parts.log.write(problem.event,
                       {{"request", request->meta.requestId},
--- a/packages/node/forwarder.cpp
+++ b/packages/node/forwarder.cpp
@@ -54,8 +54,7 @@
 {
 }
 
-HttpCallId
-Forwarder::send(const std::string &address, const CallMeta &meta, const HttpHeaders &headers, const std::string &body, CallCallback done)
+HttpCallId Forwarder::send(const std::string &address, const CallMeta &meta, const HttpHeaders &headers, const std::string &body, CallCallback done)
 {
     HttpCall call{"POST", address, callPath, headers, body, meta.remainingMs + answerGraceMs, !meta.actionHash.empty()};
     const std::string encoded = encodeCallMeta(meta);
@@ -80,7 +79,9 @@
     if (result.error) {
         const bool late = result.error == Errc::Timeout;
         outcome.connectFailed = !result.bytesSent;
-        outcome.problem = Problem{late ? 504 : result.bytesSent ? 502 : 503,
+        outcome.problem = Problem{late                   ? 504
+                                      : result.bytesSent ? 502
+                                                         : 503,
                                   late ? Event::DeadlineExceeded : Event::UpstreamUnavailable,
                                   result.bytesSent ? Outcome::MayHaveRun : Outcome::NotRun,
                                   "the node of the upstream gave no answer: " + result.error.message(),
--- a/packages/node/headers.cpp
+++ b/packages/node/headers.cpp
@@ -10,7 +10,17 @@
 {
 // RFC 9110, section 7.6.1, and the fields that libcurl and libmicrohttpd set themselves.
 constexpr std::array<std::string_view, 12> hopByHop{
-    "connection", "content-length", "date", "expect", "host", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade",
+    "connection",
+    "content-length",
+    "date",
+    "expect",
+    "host",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
     "proxy-authenticate",
 };
 // Credentials of the caller. A team's key must not reach an upstream.
--- a/packages/node/quotaagent.cpp
+++ b/packages/node/quotaagent.cpp
@@ -138,7 +138,10 @@
         }
     }
     for (const auto &[peer, request] : m_desk.asks(peers, now)) {
-        m_link.call(addresses[peer], borrowMethod, request.toJson(), borrowTimeoutMs,
+        m_link.call(addresses[peer],
+                    borrowMethod,
+                    request.toJson(),
+                    borrowTimeoutMs,
                     [this, peer = peer, now](std::error_code error, const Json::Value &result) {
                         BorrowResponse response;
                         if (!error && BorrowResponse::fromJson(result, response)) {
--- a/packages/policy/entrythrottle.h
+++ b/packages/policy/entrythrottle.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "base/clock.h"
-#include "base/random.h"
 #include "base/priority.h"
+#include "base/random.h"
 
 namespace Yuccagrade
 {
--- a/packages/runtime/processhost.cpp
+++ b/packages/runtime/processhost.cpp
@@ -68,7 +68,8 @@
     const PeerIdentity identity{m_settings.id, static_cast<std::uint64_t>(m_loop.clock().wall()), m_settings.peerAdvertise};
     m_auth = std::make_unique<PeerAuth>(identity, m_clusterSecret, m_log.hybridClock(), m_loop.clock());
     m_link = std::make_unique<PeerLink>(m_loop, *m_auth, m_client, m_log);
-    const bool listening = listen(m_peerServer, m_settings.peerAddress,
+    const bool listening = listen(m_peerServer,
+                                  m_settings.peerAddress,
                                   [this](const auto &exchange) {
                                       handlePeer(exchange);
                                   })
