Borrow from another domain while the coordinator does not answer; graceful close; log limit

Change: a node borrows from another domain's coordinator when its own does not answer. Also: a draining process ends connections after their responses and closes its sockets last; non-idempotent calls use new connections, since libcurl may resend on reused ones; queue-ms of the manifest is applied; events of single requests are limited to 50/s; manifests that would move claimed actions to another claim group are refused.

--- a/packages/base/eventlog.cpp
+++ b/packages/base/eventlog.cpp
@@ -11,12 +11,19 @@
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <map>
 #include <stdexcept>
+#include <utility>
 
 namespace Yuccagrade
 {
 namespace
 {
+// Under overload each refused request would be a line; the log must not become the bottleneck then.
+constexpr int maxRequestEventsPerSecond = 50;
+constexpr auto firstRequestEvent = Event::KeyUnknown;
+constexpr TimeMs msPerSecond = 1'000;
+
 // A peer with a wall clock far ahead must not drag the clocks of all others along.
 constexpr TimeMs maxAheadMs = 60'000;
 
@@ -150,10 +157,21 @@
 }
 
 struct EventLog::Impl {
-    explicit Impl(Clock clock)
-        : hybridClock(std::move(clock))
+    explicit Impl(Clock processClock)
+        : clock(std::move(processClock))
+        , hybridClock(clock)
     {
     }
+
+    /// Events of one number in the present second.
+    struct Budget {
+        TimeMs second = 0;
+        int written = 0;
+        int suppressed = 0;
+    };
+    bool isWithinBudget(Event event, int &suppressed);
+
+    Clock clock;
     HybridClock hybridClock;
     std::string process;
     std::ofstream file;
@@ -161,8 +179,30 @@
     log4cplus::Logger logger;
     Json::StreamWriterBuilder writer;
     Severity threshold = Info;
+    std::map<Event, Budget> budgets;
 };
 
+// Returns false if the event is not written. @p suppressed is the number of events left out before this one.
+bool EventLog::Impl::isWithinBudget(Event event, int &suppressed)
+{
+    if (event < firstRequestEvent) {
+        return true;
+    }
+    Budget &budget = budgets[event];
+    const TimeMs second = clock.now() / msPerSecond;
+    if (second != budget.second) {
+        budget.second = second;
+        budget.written = 0;
+    }
+    if (budget.written >= maxRequestEventsPerSecond) {
+        ++budget.suppressed;
+        return false;
+    }
+    ++budget.written;
+    suppressed = std::exchange(budget.suppressed, 0);
+    return true;
+}
+
 EventLog::EventLog(Clock clock, std::string process, const std::string &file, Severity threshold)
     : m_impl(std::make_unique<Impl>(std::move(clock)))
 {
@@ -191,7 +231,8 @@
 void EventLog::write(Event event, std::initializer_list<EventField> fields)
 {
     const EventInfo &info = eventInfo(event);
-    if (info.severity < m_impl->threshold) {
+    int suppressed = 0;
+    if (info.severity < m_impl->threshold || !m_impl->isWithinBudget(event, suppressed)) {
         return;
     }
     std::string text = "[" + std::to_string(static_cast<int>(event)) + "] " + std::string(info.name);
@@ -200,6 +241,10 @@
         text += ' ' + std::string(name) + '=' + value;
         line[std::string(name)] = value;
     }
+    if (suppressed > 0) {
+        text += " suppressed=" + std::to_string(suppressed);
+        line["suppressed"] = std::to_string(suppressed);
+    }
     m_impl->logger.log(logLevel(info.severity), text);
     if (m_impl->file.is_open()) {
         line["time"] = toText(m_impl->hybridClock.tick());
--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -130,6 +130,8 @@
     EventLog(const EventLog &) = delete;
     EventLog &operator=(const EventLog &) = delete;
 
+    /// Writes an event. Events of single requests (from 700) are limited to 50 per second and number; the next one that
+    /// is written carries the count of those left out in the field `suppressed`.
     void write(Event event, std::initializer_list<EventField> fields = {});
     HybridClock &hybridClock();
 
--- a/packages/config/clusterstate.cpp
+++ b/packages/config/clusterstate.cpp
@@ -62,6 +62,26 @@
     }
 };
 
+std::set<std::string> regionsOf(const Manifest &manifest)
+{
+    std::set<std::string> regions;
+    for (const DomainSpec &domain : manifest.domains) {
+        regions.insert(domain.region);
+    }
+    return regions;
+}
+
+// The claim group of an action follows from the regions and the home region of its team. A repeated action must find the
+// group that holds its claim.
+bool movesActions(const Manifest &before, const Manifest &after)
+{
+    const bool regionsChanged = regionsOf(before) != regionsOf(after);
+    return std::any_of(before.teams.begin(), before.teams.end(), [&](const TeamSpec &team) {
+        const TeamSpec *next = after.team(team.name);
+        return (next && next->homeRegion != team.homeRegion) || (regionsChanged && !team.homeRegion.empty());
+    });
+}
+
 Json::Value findingList(const Findings &findings)
 {
     Json::Value list(Json::arrayValue);
@@ -162,6 +182,11 @@
         result.answer["winner"]["version"] = Json::UInt64{m_manifest->version};
         return result;
     }
+    if (movesActions(*m_manifest, manifest)) {
+        return refused(Errc::Conflict,
+                       "the home region of a team, and the regions while a team has one, cannot change: actions that were claimed "
+                       "before could run again; create a new team instead");
+    }
     setManifest(std::move(manifest), command.text);
     m_manifestSubmission = command.submission;
     m_manifestIndex = m_index;
--- a/packages/net/httpserver.cpp
+++ b/packages/net/httpserver.cpp
@@ -193,6 +193,9 @@
         return;
     }
     m_response = std::move(response);
+    if (m_server->m_closing) {
+        m_response.headers["connection"] = "close";
+    }
     m_responded = true;
     m_abortHook = nullptr;
     --m_server->m_pending;
@@ -225,9 +228,6 @@
         MHD_resume_connection(exchange->m_connection);
     }
     MHD_stop_daemon(m_daemon);
-    if (m_quiesced >= 0) {
-        close(m_quiesced);
-    }
 }
 
 std::error_code HttpServer::listen(const std::string &address)
@@ -278,13 +278,18 @@
 
 void HttpServer::stopListening()
 {
-    if (m_daemon && m_quiesced < 0) {
-        m_quiesced = MHD_quiesce_daemon(m_daemon);
-        close(m_quiesced);
-        m_quiesced = -1;
+    if (m_daemon && !m_quiesced) {
+        m_quiesced = true;
+        close(MHD_quiesce_daemon(m_daemon));
     }
 }
 
+unsigned int HttpServer::connections() const
+{
+    const auto *info = m_daemon ? MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS) : nullptr;
+    return info ? info->num_connections : 0;
+}
+
 // Runs the library until it has nothing to do, then arms a timer for its time limits.
 void HttpServer::serve()
 {
--- a/packages/net/httpserver.h
+++ b/packages/net/httpserver.h
@@ -82,8 +82,15 @@
     {
         return m_pending;
     }
+    /// From now on each response ends its connection, so that clients move to other processes.
+    void closeAfterResponses()
+    {
+        m_closing = true;
+    }
     /// Closes the listening socket; open connections go on.
     void stopListening();
+    /// Number of open connections.
+    unsigned int connections() const;
 
 private:
     friend class HttpExchange;
@@ -99,8 +106,9 @@
     std::string m_address;
     MHD_Daemon *m_daemon = nullptr;
     int m_epoll = -1;
-    int m_quiesced = -1;
+    bool m_quiesced = false;
     bool m_serveScheduled = false;
+    bool m_closing = false;
     TimerId m_timer = 0;
     TimerId m_abortTimer = 0;
     std::size_t m_pending = 0;
--- a/packages/node/callmeta.cpp
+++ b/packages/node/callmeta.cpp
@@ -20,6 +20,7 @@
     value["remainingMs"] = Json::Int64(remainingMs);
     value["retries"] = retries;
     value["depth"] = depth;
+    value["idempotent"] = idempotent;
     value["priority"] = static_cast<int>(priority);
     return value;
 }
@@ -31,7 +32,7 @@
     reader.read("id", meta.requestId).read("method", meta.method).read("target", meta.target).read("route", meta.route);
     reader.read("service", meta.service).read("team", meta.team).read("key", meta.keyId).read("action", meta.actionHash);
     reader.read("token", meta.actionToken).read("remainingMs", meta.remainingMs).read("retries", meta.retries);
-    reader.read("depth", meta.depth).read("priority", priority);
+    reader.read("depth", meta.depth).read("priority", priority).read("idempotent", meta.idempotent);
     if (!reader.ok() || priority < 0 || priority >= static_cast<int>(priorityCount) || meta.retries < 0 || meta.depth < 0) {
         return false;
     }
--- a/packages/node/callmeta.h
+++ b/packages/node/callmeta.h
@@ -23,6 +23,7 @@
     int retries = 0; ///< attempts that the tree below this call may use for retries
     int depth = 0; ///< 0 for a root request
     Priority priority = Priority::Normal;
+    bool idempotent = false; ///< may be sent twice; otherwise each hop opens a new connection
 
     Json::Value toJson() const;
     static bool fromJson(const Json::Value &value, CallMeta &meta);
--- a/packages/node/entrygate.cpp
+++ b/packages/node/entrygate.cpp
@@ -111,6 +111,7 @@
     request.meta.route = request.route->name;
     request.meta.service = request.route->service;
     request.meta.priority = request.route->priority;
+    request.meta.idempotent = request.route->idempotent && !request.route->action;
     return std::nullopt;
 }
 
@@ -378,9 +379,8 @@
         return false;
     }
     const bool notRunYet = outcome.problem && outcome.problem->outcome == Outcome::NotRun;
-    const bool repeatable = request.route->idempotent && !request.route->action;
     const bool worthIt = overloaded || outcome.problem->status >= statusServerError;
-    if (!(notRunYet || repeatable) || !worthIt || m_parts.loop.clock().now() + retryJitterMs >= request.deadline) {
+    if (!(notRunYet || request.meta.idempotent) || !worthIt || m_parts.loop.clock().now() + retryJitterMs >= request.deadline) {
         return false;
     }
     if (request.budget.left() == 0 || !m_ratios[request.meta.route].takeRetry()) {
--- a/packages/node/forwarder.cpp
+++ b/packages/node/forwarder.cpp
@@ -56,7 +56,7 @@
 
 HttpCallId Forwarder::send(const std::string &address, const CallMeta &meta, const HttpHeaders &headers, const std::string &body, CallCallback done)
 {
-    HttpCall call{"POST", address, callPath, headers, body, meta.remainingMs + answerGraceMs, !meta.actionHash.empty()};
+    HttpCall call{"POST", address, callPath, headers, body, meta.remainingMs + answerGraceMs, !meta.idempotent};
     const std::string encoded = encodeCallMeta(meta);
     const std::string header = m_auth.sign(address, signedContent(encoded, body));
     call.headers[Headers::call] = encoded;
--- a/packages/node/noderuntime.cpp
+++ b/packages/node/noderuntime.cpp
@@ -99,6 +99,7 @@
         m_host.log().write(Event::ListenFailed, {{"address", m_host.settings().callerAddress}, {"reason", error.message()}});
         return false;
     }
+    m_host.ownerServer = &m_callerServer;
     m_plane.start();
     m_gate.start();
     m_claims.start();
--- a/packages/node/quotaagent.cpp
+++ b/packages/node/quotaagent.cpp
@@ -13,6 +13,7 @@
 constexpr TimeMs deskPeriodMs = 20;
 constexpr TimeMs waitLimitMs = 20; // longest wait of a request for a token
 constexpr TimeMs borrowTimeoutMs = 200;
+constexpr TimeMs avoidLenderMs = 500; // then the coordinator of the domain is tried again
 }
 
 QuotaAgent::QuotaAgent(EventLoop &loop, PeerLink &link, Metrics &metrics, ControlPlane &plane, const PeerIdentity &identity)
@@ -66,13 +67,33 @@
     }
 }
 
+// Returns the coordinator of the domain, or while that does not answer one of another domain. Without this, the loss of a
+// coordinator refuses every keyed call of its domain until the lease has run out.
+std::string QuotaAgent::lenderAddress(TimeMs now) const
+{
+    const auto isUsable = [&](const std::string &address) {
+        const auto avoided = m_avoidUntil.find(address);
+        return !address.empty() && (avoided == m_avoidUntil.end() || now >= avoided->second);
+    };
+    const std::string own = m_plane.coordinatorAddress();
+    if (isUsable(own)) {
+        return own;
+    }
+    for (const Member &member : m_plane.view().upMembers()) {
+        if (member.coordinator && member.id != m_plane.self().id && isUsable(member.peerAddress)) {
+            return member.peerAddress;
+        }
+    }
+    return own;
+}
+
 // Asks the coordinator of the domain, which may be this node.
 void QuotaAgent::ask()
 {
     const TimeMs now = m_loop.clock().now();
-    const std::string coordinator = m_plane.coordinatorAddress();
     const bool isSelf = m_plane.isCoordinator();
-    if (!isSelf && coordinator.empty()) {
+    const std::string lender = isSelf ? std::string() : lenderAddress(now);
+    if (!isSelf && lender.empty()) {
         return;
     }
     const auto request = m_client.poll(now);
@@ -86,10 +107,12 @@
         }
         return;
     }
-    m_link.call(coordinator, borrowMethod, request->toJson(), borrowTimeoutMs, [this, now](std::error_code error, const Json::Value &result) {
+    m_link.call(lender, borrowMethod, request->toJson(), borrowTimeoutMs, [this, lender, now](std::error_code error, const Json::Value &result) {
         BorrowResponse response;
         if (!error && BorrowResponse::fromJson(result, response)) {
             takeLoans(response, now);
+        } else {
+            m_avoidUntil[lender] = m_loop.clock().now() + avoidLenderMs;
         }
     });
 }
--- a/packages/node/quotaagent.h
+++ b/packages/node/quotaagent.h
@@ -36,6 +36,7 @@
     };
 
     void tick();
+    std::string lenderAddress(TimeMs now) const;
     void ask();
     void askPeers();
     void takeLoans(const BorrowResponse &response, TimeMs sentAt);
@@ -51,5 +52,6 @@
     std::deque<Waiting> m_waiting; ///< oldest first; all wait equally long
     std::optional<ShareMessage> m_handedBack;
     TimeMs m_nextDeskAsk = 0;
+    std::map<std::string, TimeMs> m_avoidUntil; ///< lenders that did not answer, by address
 };
 }
--- a/packages/node/upstreamgate.cpp
+++ b/packages/node/upstreamgate.cpp
@@ -122,9 +122,14 @@
 
 void UpstreamGate::stateChanged()
 {
-    for (const TeamSpec &team : m_plane.state().manifest()->teams) {
+    const auto manifest = m_plane.state().manifest();
+    for (const TeamSpec &team : manifest->teams) {
         m_admission.setWeight(team.name, team.weight);
     }
+    const ServiceSpec *service = m_upstream ? manifest->service(m_upstream->service) : nullptr;
+    if (service) {
+        m_admission.setQueueMs(static_cast<double>(service->queueMs));
+    }
 }
 
 void UpstreamGate::drain()
@@ -265,7 +270,7 @@
     http.headers[Headers::timeoutMs] = std::to_string(remaining);
     http.body = std::move(call.body);
     http.timeoutMs = remaining;
-    http.freshConnection = !call.meta.actionHash.empty();
+    http.freshConnection = !call.meta.idempotent;
     m_log.write(Event::CallForwarded, {{"request", call.meta.requestId}, {"to", http.address}});
     call.http = m_client.send(std::move(http), [this, id](const HttpResult &result) {
         finish(id, result);
--- a/packages/policy/admission.h
+++ b/packages/policy/admission.h
@@ -34,6 +34,10 @@
     /// Takes the announcement of the upstream over.
     void announce(int slots, int connections);
     void setWeight(const std::string &team, double weight);
+    void setQueueMs(double queueMs)
+    {
+        m_queue.setQueueMs(queueMs);
+    }
     AdmissionActions offer(QueuedRequest request, double nowMs);
     /// A started call has ended after @p latencyMs.
     AdmissionActions finished(CallResult result, double latencyMs, double nowMs);
--- a/packages/policy/fairqueue.h
+++ b/packages/policy/fairqueue.h
@@ -35,6 +35,11 @@
 public:
     explicit FairQueue(const QueueOptions &options = {});
 
+    /// Changes the longest wait; it also applies to requests that wait already.
+    void setQueueMs(double queueMs)
+    {
+        m_options.queueMs = queueMs;
+    }
     /// Sets the share of a team; 1 if never set.
     void setWeight(const std::string &team, double weight);
     /// Queues the request. Returns the request that has to go if the queue is full; that may be the new one.
--- a/packages/runtime/processhost.cpp
+++ b/packages/runtime/processhost.cpp
@@ -4,6 +4,8 @@
 #include "base/secret.h"
 #include "protocol/jsoncodec.h"
 
+#include <algorithm>
+
 namespace Yuccagrade
 {
 namespace
@@ -13,6 +15,7 @@
 constexpr TimeMs drainCheckMs = 20;
 // Peers learn of the drain within two sync periods of 500 ms; until then refused calls go elsewhere.
 constexpr TimeMs drainAnnounceMs = 1'500;
+constexpr TimeMs idleConnectionMs = 1'000;
 
 std::string sourceIp(const Settings &settings)
 {
@@ -130,16 +133,47 @@
     m_draining = true;
     m_log.write(Event::DrainStarted);
     drainHook();
-    m_drainedAt = m_loop.clock().now() + drainAnnounceMs;
+    if (ownerServer) {
+        ownerServer->closeAfterResponses();
+    }
+    m_announcedAt = m_loop.clock().now() + drainAnnounceMs;
     m_loop.every(drainCheckMs, [this] {
         checkDrained();
     });
 }
 
-// The listening sockets stay open to the end, so that peers and callers get a refusal rather than a reset.
+std::vector<HttpServer *> ProcessHost::servers() const
+{
+    std::vector<HttpServer *> all{m_peerServer.get(), m_operatorServer.get()};
+    if (ownerServer) {
+        all.push_back(ownerServer);
+    }
+    return all;
+}
+
+// The listening sockets stay open until all work has ended, so that peers and callers get a refusal rather than a reset.
+// Connections that are open then have some time to be closed by their clients, since a request may be on its way.
 void ProcessHost::checkDrained()
 {
-    if (m_loop.clock().now() < m_drainedAt || !isDrained()) {
+    const TimeMs now = m_loop.clock().now();
+    const auto all = servers();
+    const bool isServing = std::any_of(all.begin(), all.end(), [](const HttpServer *server) {
+        return server->pending() > 0;
+    });
+    if (now < m_announcedAt || isServing || !isDrained()) {
+        return;
+    }
+    if (m_lastClosedAt == 0) {
+        m_lastClosedAt = now + idleConnectionMs;
+        for (HttpServer *server : all) {
+            server->closeAfterResponses();
+            server->stopListening();
+        }
+    }
+    const bool isConnected = std::any_of(all.begin(), all.end(), [](const HttpServer *server) {
+        return server->connections() > 0;
+    });
+    if (isConnected && now < m_lastClosedAt) {
         return;
     }
     m_log.write(Event::DrainFinished);
--- a/packages/runtime/processhost.h
+++ b/packages/runtime/processhost.h
@@ -32,6 +32,8 @@
     std::function<void()> drainHook;
     /// Returns true when the owner has finished all its work.
     std::function<bool()> isDrained;
+    /// A listener of the owner that takes part in the shutdown; may be null.
+    HttpServer *ownerServer = nullptr;
     /// Called before /metrics answers, to refresh gauges.
     std::function<void(Metrics &)> metricsHook;
 
@@ -81,6 +83,7 @@
     void handlePeer(const std::shared_ptr<HttpExchange> &exchange);
     void handleOperator(const std::shared_ptr<HttpExchange> &exchange);
     void checkDrained();
+    std::vector<HttpServer *> servers() const;
 
     Settings m_settings;
     EventLoop m_loop;
@@ -94,7 +97,8 @@
     std::unique_ptr<HttpServer> m_peerServer;
     std::unique_ptr<HttpServer> m_operatorServer;
     bool m_draining = false;
-    TimeMs m_drainedAt = 0;
+    TimeMs m_announcedAt = 0; ///< when peers have learned of the drain
+    TimeMs m_lastClosedAt = 0; ///< when idle connections are closed; 0 while the sockets listen
 };
 
 /// Returns the IP number of an address "ip:port".
