Quota: bound of the spending check over limit changes

Cause: the check took the burst of the newest limits for windows that began under a higher one, and reported an excess of 20 tokens that the rule allows. Change: each check uses the highest burst since its start; a further check with the new limits alone starts once the loans from before the change have expired, so the check stays strict after each change.

--- a/tests/quota/quotacluster.cpp
+++ b/tests/quota/quotacluster.cpp
@@ -30,7 +30,7 @@
     m_level = std::max(0.0, m_level - m_rate * static_cast<double>(now - m_at) / 1'000);
     m_at = now;
     m_rate = rate;
-    m_burst = burst;
+    m_burst = std::max(m_burst, burst); // a window may start when the highest burst was allowed
 }
 
 QuotaCluster::QuotaCluster(const Options &options, std::uint64_t seed)
@@ -40,12 +40,13 @@
     , m_desks(options.domains)
     , m_limits{{options.rate, options.burst}}
 {
+    m_nodes.reserve(static_cast<std::size_t>(options.domains) * options.nodes);
     m_checks.emplace_back(options.rate, options.burst, 0);
     changeLeader();
     for (int domain = 0; domain < options.domains; ++domain) {
         restartDesk(domain, true);
         for (int i = 0; i < options.nodes; ++i) {
-            m_nodes.push_back({domain, randomClock(), nullptr, {}});
+            m_nodes.emplace_back(Node{domain, randomClock(), nullptr, {}});
             restartNode(m_nodes.size() - 1);
         }
     }
@@ -305,10 +306,15 @@
         if (m_confirmed == m_limits.size()) {
             const TokenLimits &limits = m_limits.back();
             for (SpendingCheck &check : m_checks) {
-                check.allow(limits.rate, std::max(limits.burst, m_options.burst), now);
+                check.allow(limits.rate, limits.burst, now);
             }
-            m_checks.emplace_back(limits.rate, limits.burst, now);
+            m_checkAt = now + 1'300;
         }
     }
+    // Loans from before the change may be spent until they expire; then the new limits alone bound every window.
+    if (m_checkAt > 0 && now >= m_checkAt && m_confirmed == m_limits.size()) {
+        m_checks.emplace_back(m_limits.back().rate, m_limits.back().burst, now);
+        m_checkAt = 0;
+    }
 }
 }
--- a/tests/quota/quotacluster.h
+++ b/tests/quota/quotacluster.h
@@ -107,5 +107,6 @@
     std::uint64_t m_confirmed = 0;
     std::uint64_t m_incarnations = 0;
     std::vector<SpendingCheck> m_checks;
+    TimeMs m_checkAt = 0; ///< time at which a check with the newest limits starts, 0 if none is planned
 };
 }
--- a/tests/quota/quotatest.cpp
+++ b/tests/quota/quotatest.cpp
@@ -229,7 +229,7 @@
                     cluster.restartDesk(domain, random.below(2) == 0);
                     break;
                 case 1:
-                    cluster.restartNode(random.below(options.nodes * options.domains));
+                    cluster.restartNode(random.below(static_cast<std::uint64_t>(options.nodes) * options.domains));
                     break;
                 case 2:
                     cluster.changeLeader();
