Quota: hoarding borrowers in the spending property

Cause: a trial with loans not counted against the cap passed the property, because nodes give unused tokens back and the frequent faults kept most of the share out of use. Change: in three of four runs the nodes borrow all they can and spend it at once; two of three steps are calm.

--- a/tests/quota/quotacluster.cpp
+++ b/tests/quota/quotacluster.cpp
@@ -46,7 +46,8 @@
     for (int domain = 0; domain < options.domains; ++domain) {
         restartDesk(domain, true);
         for (int i = 0; i < options.nodes; ++i) {
-            m_nodes.emplace_back(Node{domain, randomClock(), nullptr, {}});
+            // NOLINTNEXTLINE(performance-inefficient-vector-operation): reserved above
+            m_nodes.push_back(Node{domain, randomClock(), nullptr, {}, {}, {}, 0});
             restartNode(m_nodes.size() - 1);
         }
     }
@@ -75,6 +76,7 @@
 {
     m_nodes[node].client = std::make_unique<QuotaClient>("n" + std::to_string(node), ++m_incarnations);
     m_nodes[node].waiting.clear();
+    m_nodes[node].hoarded = {};
 }
 
 void QuotaCluster::changeLeader()
@@ -243,6 +245,10 @@
     if (now < node.clock.frozenUntil) {
         return;
     }
+    if (m_options.hoard) {
+        tickHoarder(index);
+        return;
+    }
     const TimeMs time = node.clock.local(now);
     for (double at = -std::log(1 - random.fraction()); at < load * static_cast<double>(m_options.step) / 1'000; at -= std::log(1 - random.fraction())) {
         if (node.client->arrive(team, 1, time)) {
@@ -284,11 +290,47 @@
     });
 }
 
+void QuotaCluster::tickHoarder(std::size_t index)
+{
+    Node &node = m_nodes[index];
+    const TimeMs time = node.clock.local(now);
+    if (now > m_spendAt + 100) {
+        m_spendAt = now + static_cast<TimeMs>(random.below(1'500));
+    }
+    while (now >= m_spendAt && node.hoarded.spend(0.25, time)) {
+        serve();
+    }
+    if (now < node.askAt) {
+        return;
+    }
+    node.askAt = now + 40;
+    BorrowItem item{team, 1'000, 0, 1'000, 1'000, node.hoarded.reports(node.lender, time)};
+    const BorrowRequest request{"n" + std::to_string(index), 1, node.lender, false, {item}};
+    const int domain = node.domain;
+    const QuotaClient *identity = node.client.get();
+    transmit(domain, domain, [=, this] {
+        Desk &desk = m_desks[domain];
+        if (now < desk.clock.frozenUntil) {
+            return;
+        }
+        const BorrowResponse response = desk.desk->answer(request, desk.clock.local(now));
+        transmit(domain, domain, [=, this] {
+            Node &receiver = m_nodes[index];
+            for (const Loan &loan : response.loans) {
+                if (receiver.client.get() == identity) {
+                    receiver.hoarded.accept(response.lender, loan, time);
+                }
+            }
+            receiver.lender = response.lender;
+        });
+    });
+}
+
 void QuotaCluster::serve()
 {
     ++served;
     for (SpendingCheck &check : m_checks) {
-        check.spend(1, now);
+        check.spend(m_options.hoard ? 0.25 : 1, now);
     }
 }
 
--- a/tests/quota/quotacluster.h
+++ b/tests/quota/quotacluster.h
@@ -51,6 +51,7 @@
         double loss = 0;
         double duplicates = 0;
         TimeMs maxDelay = 2;
+        bool hoard = false; ///< nodes borrow all they can and spend it at once now and then
         TimeMs step = 1; ///< time between two rounds
     };
     QuotaCluster(const Options &options, std::uint64_t seed);
@@ -85,6 +86,9 @@
         SimClock clock;
         std::unique_ptr<QuotaClient> client;
         std::deque<TimeMs> waiting; ///< arrival times
+        TokenStock hoarded;
+        std::string lender;
+        TimeMs askAt = 0;
     };
     SimClock randomClock();
     void transmit(int from, int to, const std::function<void()> &arrive);
@@ -93,6 +97,7 @@
     void borrow(int domain);
     void tickNode(std::size_t index, double load);
     void serve();
+    void tickHoarder(std::size_t index);
     void check();
 
     Options m_options;
@@ -107,6 +112,7 @@
     std::uint64_t m_confirmed = 0;
     std::uint64_t m_incarnations = 0;
     std::vector<SpendingCheck> m_checks;
+    TimeMs m_spendAt = 0; ///< next time at which hoarding nodes spend
     TimeMs m_checkAt = 0; ///< time at which a check with the newest limits starts, 0 if none is planned
 };
 }
--- a/tests/quota/quotatest.cpp
+++ b/tests/quota/quotatest.cpp
@@ -216,12 +216,15 @@
         options.duplicates = 0.1;
         options.maxDelay = random.below(2) ? 2 : 300;
         options.step = 5;
+        options.hoard = random.below(4) != 0;
         QuotaCluster cluster(options, seed);
         cluster.run(6'000, [](int) {
             return 0;
         });
         for (int step = 0; step < 12; ++step) {
-            const int events = 1 + static_cast<int>(random.below(2));
+            // Calm steps let the shares come back; without them the spending stays far below the bound.
+            const int events = random.below(3) == 0 ? 1 + static_cast<int>(random.below(2)) : 0;
+            cluster.cut.assign(cluster.cut.size(), false);
             for (int i = 0; i < events; ++i) {
                 const int domain = static_cast<int>(random.below(options.domains));
                 switch (random.below(7)) {
@@ -241,12 +244,12 @@
                     cluster.freezeSomebody();
                     break;
                 default:
-                    cluster.cut[domain] = !cluster.cut[domain];
+                    cluster.cut[domain] = true;
                 }
             }
             const double demand = random.below(3) == 0 ? 0 : 3 * options.rate;
             const int busy = static_cast<int>(random.below(options.domains + 1));
-            cluster.run(200 + static_cast<TimeMs>(random.below(2'500)), [&](int domain) {
+            cluster.run(500 + static_cast<TimeMs>(random.below(3'500)), [&](int domain) {
                 return busy == options.domains || busy == domain ? demand : 0;
             });
         }
