--- a/tests/quota/quotacluster.cpp
+++ b/tests/quota/quotacluster.cpp
@@ -40,15 +40,16 @@
     , m_desks(options.domains)
     , m_limits{{options.rate, options.burst}}
 {
-    m_nodes.reserve(static_cast<std::size_t>(options.domains) * options.nodes);
+    m_nodes.resize(static_cast<std::size_t>(options.domains) * options.nodes);
     m_checks.emplace_back(options.rate, options.burst, 0);
     changeLeader();
     for (int domain = 0; domain < options.domains; ++domain) {
         restartDesk(domain, true);
         for (int i = 0; i < options.nodes; ++i) {
-            // NOLINTNEXTLINE(performance-inefficient-vector-operation): reserved above
-            m_nodes.push_back(Node{domain, randomClock(), nullptr, {}, {}, {}, 0});
-            restartNode(m_nodes.size() - 1);
+            const std::size_t index = static_cast<std::size_t>(domain) * options.nodes + i;
+            m_nodes[index].domain = domain;
+            m_nodes[index].clock = randomClock();
+            restartNode(index);
         }
     }
 }
