--- a/tests/quota/quotacluster.cpp
+++ b/tests/quota/quotacluster.cpp
@@ -85,6 +85,7 @@
     m_electedAt = now;
     m_ledger = std::make_unique<ShareLedger>(now);
     std::vector<std::string> domains;
+    domains.reserve(m_options.domains);
     for (int i = 0; i < m_options.domains; ++i) {
         domains.push_back("d" + std::to_string(i));
     }
