Timers run only while something waits

Cause: an idle node woke 700 times a second for token, queue and abort checks, which counts against the control budget of 2.6% of a core. Change: the token, queue and abort timers exist only while requests wait; the coordinator list is kept instead of copied from the view on every ask.

--- a/packages/net/httpserver.cpp
+++ b/packages/net/httpserver.cpp
@@ -129,6 +129,7 @@
     const auto *info = MHD_get_connection_info(exchange.m_connection, MHD_CONNECTION_INFO_CONNECTION_FD);
     server.m_suspended[&exchange] = info ? info->connect_fd : -1;
     MHD_suspend_connection(exchange.m_connection);
+    server.scheduleAbortCheck();
     return MHD_YES;
 }
 
@@ -270,9 +271,6 @@
     m_loop.watch(m_epoll, EventLoop::Readable, [this](int) {
         serve();
     });
-    m_abortTimer = m_loop.every(abortCheckMs, [this] {
-        detectAborts();
-    });
     return {};
 }
 
@@ -322,6 +320,18 @@
     }
 }
 
+void HttpServer::scheduleAbortCheck()
+{
+    if (m_abortTimer != 0 || m_suspended.empty()) {
+        return;
+    }
+    m_abortTimer = m_loop.after(abortCheckMs, [this] {
+        m_abortTimer = 0;
+        detectAborts();
+        scheduleAbortCheck();
+    });
+}
+
 // Finds suspended connections that the client has closed, so that cancelled work can stop early.
 void HttpServer::detectAborts()
 {
--- a/packages/net/httpserver.h
+++ b/packages/net/httpserver.h
@@ -98,6 +98,7 @@
 
     void serve();
     void scheduleServe();
+    void scheduleAbortCheck();
     void detectAborts();
 
     EventLoop &m_loop;
--- a/packages/node/controlplane.cpp
+++ b/packages/node/controlplane.cpp
@@ -6,7 +6,7 @@
 {
 namespace
 {
-constexpr TimeMs pollPeriodMs = 50;
+constexpr TimeMs pollPeriodMs = 100;
 constexpr TimeMs syncTimeoutMs = 1'000;
 constexpr auto syncMethod = "sync";
 }
--- a/packages/node/noderuntime.cpp
+++ b/packages/node/noderuntime.cpp
@@ -118,6 +118,7 @@
 void NodeRuntime::viewChanged()
 {
     m_entry.viewChanged();
+    m_quota.viewChanged();
 }
 
 void NodeRuntime::handleCaller(const std::shared_ptr<HttpExchange> &exchange)
--- a/packages/node/quotaagent.cpp
+++ b/packages/node/quotaagent.cpp
@@ -2,6 +2,7 @@
 
 #include "base/errc.h"
 
+#include <algorithm>
 #include <set>
 
 namespace Yuccagrade
@@ -9,8 +10,8 @@
 namespace
 {
 constexpr auto borrowMethod = "borrow";
-constexpr TimeMs tickPeriodMs = 2;
-constexpr TimeMs deskPeriodMs = 20;
+constexpr TimeMs tickPeriodMs = 20;
+constexpr TimeMs waitingPeriodMs = 2; // while requests wait for tokens
 constexpr TimeMs waitLimitMs = 20; // longest wait of a request for a token
 constexpr TimeMs borrowTimeoutMs = 200;
 constexpr TimeMs avoidLenderMs = 500; // then the coordinator of the domain is tried again
@@ -54,19 +55,42 @@
     }
     m_waiting.push_back({team, std::move(callback), now + waitLimitMs});
     ask();
+    tickWaiting();
+}
+
+// Runs often only while a request waits; an idle node would spend most of its time on empty ticks.
+void QuotaAgent::tickWaiting()
+{
+    if (m_waitingTimer || m_waiting.empty()) {
+        return;
+    }
+    m_waitingTimer = true;
+    m_loop.after(waitingPeriodMs, [this] {
+        m_waitingTimer = false;
+        ask();
+        payWaiting();
+        tickWaiting();
+    });
 }
 
 void QuotaAgent::tick()
 {
     ask();
-    payWaiting();
-    const TimeMs now = m_loop.clock().now();
-    if (m_plane.isCoordinator() && now >= m_nextDeskAsk) {
-        m_nextDeskAsk = now + deskPeriodMs;
+    if (m_plane.isCoordinator()) {
         askPeers();
     }
 }
 
+void QuotaAgent::viewChanged()
+{
+    m_coordinators.clear();
+    for (const Member &member : m_plane.view().upMembers()) {
+        if (member.coordinator && member.id != m_plane.self().id) {
+            m_coordinators.push_back({member.id, member.peerAddress});
+        }
+    }
+}
+
 // Returns the coordinator of the domain, or while that does not answer one of another domain. Without this, the loss of a
 // coordinator refuses every keyed call of its domain until the lease has run out.
 std::string QuotaAgent::lenderAddress(TimeMs now) const
@@ -79,12 +103,10 @@
     if (isUsable(own)) {
         return own;
     }
-    for (const Member &member : m_plane.view().upMembers()) {
-        if (member.coordinator && member.id != m_plane.self().id && isUsable(member.peerAddress)) {
-            return member.peerAddress;
-        }
-    }
-    return own;
+    const auto other = std::find_if(m_coordinators.begin(), m_coordinators.end(), [&](const Coordinator &coordinator) {
+        return isUsable(coordinator.address);
+    });
+    return other == m_coordinators.end() ? own : other->address;
 }
 
 // Asks the coordinator of the domain, which may be this node.
@@ -154,11 +176,9 @@
     const TimeMs now = m_loop.clock().now();
     std::vector<std::string> peers;
     std::map<std::string, std::string> addresses;
-    for (const Member &member : m_plane.view().upMembers()) {
-        if (member.coordinator && member.id != m_plane.self().id) {
-            peers.push_back(member.id);
-            addresses[member.id] = member.peerAddress;
-        }
+    for (const Coordinator &coordinator : m_coordinators) {
+        peers.push_back(coordinator.id);
+        addresses[coordinator.id] = coordinator.address;
     }
     for (const auto &[peer, request] : m_desk.asks(peers, now)) {
         m_link.call(addresses[peer],
--- a/packages/node/quotaagent.h
+++ b/packages/node/quotaagent.h
@@ -20,6 +20,8 @@
     void start();
     /// Takes over the teams' limits from the replicated state.
     void stateChanged();
+    /// Takes over the coordinators of the other domains.
+    void viewChanged();
     /// Takes one token of @p team. The callback runs at once, or after at most 20 ms if an urgent borrow is needed.
     void take(const std::string &team, Callback callback);
     /// Share to report to the leader.
@@ -35,7 +37,13 @@
         TimeMs deadline = 0;
     };
 
+    struct Coordinator {
+        std::string id;
+        std::string address;
+    };
+
     void tick();
+    void tickWaiting();
     std::string lenderAddress(TimeMs now) const;
     void ask();
     void askPeers();
@@ -51,7 +59,8 @@
     QuotaDesk m_desk;
     std::deque<Waiting> m_waiting; ///< oldest first; all wait equally long
     std::optional<ShareMessage> m_handedBack;
-    TimeMs m_nextDeskAsk = 0;
+    std::vector<Coordinator> m_coordinators; ///< of the other domains
+    bool m_waitingTimer = false;
     std::map<std::string, TimeMs> m_avoidUntil; ///< lenders that did not answer, by address
 };
 }
--- a/packages/node/upstreamgate.cpp
+++ b/packages/node/upstreamgate.cpp
@@ -10,7 +10,7 @@
 {
 namespace
 {
-constexpr TimeMs admissionTickMs = 5;
+constexpr TimeMs admissionTickMs = 5; // only while requests wait
 constexpr TimeMs upstreamSilentMs = 3'000; // three missed announcements
 constexpr TimeMs watchPeriodMs = 200;
 constexpr int statusServiceUnavailable = 503;
@@ -54,11 +54,6 @@
 
 void UpstreamGate::start()
 {
-    m_loop.every(admissionTickMs, [this] {
-        if (m_admission.queued() > 0) {
-            carryOut(m_admission.tick(m_loop.clock().preciseMs()));
-        }
-    });
     m_loop.every(watchPeriodMs, [this] {
         watchUpstream();
         m_dispatched.expire(m_loop.clock().now());
@@ -160,6 +155,7 @@
     request.team = meta.team;
     request.deadlineMs = now + static_cast<double>(meta.remainingMs);
     carryOut(m_admission.offer(std::move(request), now));
+    tickQueue();
     return id;
 }
 
@@ -181,6 +177,20 @@
     complete(id, {}, CallResult::Cancelled);
 }
 
+// Expires queued requests; runs only while there are some.
+void UpstreamGate::tickQueue()
+{
+    if (m_queueTimer || m_admission.queued() == 0) {
+        return;
+    }
+    m_queueTimer = true;
+    m_loop.after(admissionTickMs, [this] {
+        m_queueTimer = false;
+        carryOut(m_admission.tick(m_loop.clock().preciseMs()));
+        tickQueue();
+    });
+}
+
 void UpstreamGate::carryOut(const AdmissionActions &actions)
 {
     for (const AdmissionAction &action : actions) {
--- a/packages/node/upstreamgate.h
+++ b/packages/node/upstreamgate.h
@@ -54,6 +54,7 @@
     bool takeAnnouncement(const std::string &body, UpstreamAnnouncement &announcement) const;
     void setUpstream(const std::optional<UpstreamAnnouncement> &upstream);
     void watchUpstream();
+    void tickQueue();
     void carryOut(const AdmissionActions &actions);
     void startCall(std::uint64_t id);
     std::optional<Problem> recheck(const CallMeta &meta) const;
@@ -76,6 +77,7 @@
     std::string m_upstreamIp;
     TimeMs m_heardAt = 0;
     bool m_draining = false;
+    bool m_queueTimer = false;
     std::uint64_t m_lastId = 0;
     std::unordered_map<std::uint64_t, Call> m_calls;
 };
