--- a/tests/node/nodetest.cpp
+++ b/tests/node/nodetest.cpp
@@ -43,7 +43,11 @@
 // Guards against a team's key, or a field of the layer, that reaches an upstream (invariant 4).
 BOOST_AUTO_TEST_CASE(credentialsAndLayerFieldsAreNotForwarded)
 {
-    const HttpHeaders headers{{"authorization", "Bearer ygk_a.b"}, {"proxy-authorization", "x"}, {"yuccagrade-call", "x"}, {"connection", "close"}, {"accept", "a"}};
+    const HttpHeaders headers{{"authorization", "Bearer ygk_a.b"},
+                              {"proxy-authorization", "x"},
+                              {"yuccagrade-call", "x"},
+                              {"connection", "close"},
+                              {"accept", "a"}};
     BOOST_TEST((forwardedRequestHeaders(headers) == HttpHeaders{{"accept", "a"}}));
     BOOST_TEST(!forwardedResponseHeaders({{"yuccagrade-outcome", "not-run"}}).contains("yuccagrade-outcome"));
 }
