Let operators change the consensus group

A control host whose disk was lost could not be admitted again, since RaftCore::addMember() had no caller. POST /v1/members and POST /v1/members/remove call it, and GET /v1/status lists the group.

--- a/packages/control/operatorapi.cpp
+++ b/packages/control/operatorapi.cpp
@@ -64,6 +64,10 @@
         giveKey(exchange, body);
     } else if (target == "POST /v1/keys/withdraw") {
         withdrawKey(exchange, body);
+    } else if (target == "POST /v1/members") {
+        addMember(exchange, body);
+    } else if (target == "POST /v1/members/remove") {
+        removeMember(exchange, body);
     } else if (target == "GET /v1/manifest") {
         exchange->respond(jsonResponse(200, manifestPage()));
     } else if (target == "GET /v1/keys") {
@@ -124,6 +128,40 @@
     });
 }
 
+void OperatorApi::addMember(const ExchangePtr &exchange, const Json::Value &body)
+{
+    std::string id;
+    std::string address;
+    if (!JsonReader(body).read("id", id).read("address", address).ok()) {
+        answerError(exchange, Errc::Malformed, Json::Value(Json::objectValue));
+    } else if (const auto error = m_core.replica().addMember(id, address, memberChanged(exchange))) {
+        answerError(exchange, error, Json::Value(Json::objectValue));
+    }
+}
+
+void OperatorApi::removeMember(const ExchangePtr &exchange, const Json::Value &body)
+{
+    std::string id;
+    if (!JsonReader(body).read("id", id).ok()) {
+        answerError(exchange, Errc::Malformed, Json::Value(Json::objectValue));
+    } else if (const auto error = m_core.replica().removeMember(id, memberChanged(exchange))) {
+        answerError(exchange, error, Json::Value(Json::objectValue));
+    }
+}
+
+ProposalCallback OperatorApi::memberChanged(const ExchangePtr &exchange)
+{
+    return [this, exchange](std::error_code error, std::uint64_t index) {
+        if (error) {
+            answerError(exchange, error, Json::Value(Json::objectValue));
+            return;
+        }
+        Json::Value answer;
+        answer["index"] = Json::UInt64{index};
+        exchange->respond(jsonResponse(200, answer));
+    };
+}
+
 void OperatorApi::submit(const ExchangePtr &exchange, const Command &command, std::function<void(Json::Value &answer)> complete)
 {
     m_core.propose(toJson(command), [this, exchange, complete = std::move(complete)](std::error_code error, const ApplyResult &result) {
@@ -191,6 +229,19 @@
     return list;
 }
 
+Json::Value OperatorApi::membersPage()
+{
+    Json::Value list(Json::arrayValue);
+    for (const GroupMember &member : m_core.replica().core()->log().members()) {
+        Json::Value item;
+        item["id"] = member.id;
+        item["address"] = member.address;
+        item["voter"] = member.voter;
+        list.append(item);
+    }
+    return list;
+}
+
 Json::Value OperatorApi::statusPage()
 {
     LeaderState &leader = *m_core.leader();
@@ -213,6 +264,7 @@
     page["inForce"]["confirmed"] = inForce.confirmed;
     page["inForce"]["known"] = inForce.known;
     page["withdrawals"] = withdrawalsPage(leader);
+    page["members"] = membersPage();
     return page;
 }
 }
