Answer operators' reads only while no other leader can exist

Cause: a leader that is frozen or cut off keeps its role until the longest election timeout (1 s) has passed, while the others can elect a leader after the shortest (0.5 s); a woken leader answered requests before its first tick. Ruled out: commits on the old leader (its proposals never got a quorum). Now a read needs a majority contact within the shortest election timeout less drift, else 503.

--- a/packages/control/clustercore.cpp
+++ b/packages/control/clustercore.cpp
@@ -1,5 +1,6 @@
 #include "clustercore.h"
 
+#include "base/drift.h"
 #include "base/errc.h"
 
 namespace Yuccagrade
@@ -261,6 +262,14 @@
     m_client.answered(response, sentAt, now);
 }
 
+// A majority that answered a round refuses elections for the shortest election timeout after it. A leader that was frozen
+// or cut off keeps its role for longer than that.
+bool ClusterCore::isCurrent() const
+{
+    const TimeMs contact = m_replica->quorumContactMs();
+    return m_leader && contact >= 0 && m_host.loop().clock().now() - contact < shortenedByDrift(RaftOptions().electionMinMs);
+}
+
 std::string ClusterCore::leaderOperatorAddress() const
 {
     const std::string leader = m_replica->leaderAddress();
--- a/packages/control/clustercore.h
+++ b/packages/control/clustercore.h
@@ -70,6 +70,8 @@
     {
         return m_leader.get();
     }
+    /// True if this host leads and no other host can have been elected since, so that its state may be read as current.
+    bool isCurrent() const;
     /// Operator address of the leading host, empty if unknown.
     std::string leaderOperatorAddress() const;
     ProcessHost &host()
--- a/packages/control/operatorapi.cpp
+++ b/packages/control/operatorapi.cpp
@@ -50,6 +50,8 @@
         answerError(exchange, Errc::Malformed, Json::Value(Json::objectValue));
     } else if (!m_core.leader()) {
         answerError(exchange, Errc::NotLeader, Json::Value(Json::objectValue));
+    } else if (exchange->request().method == "GET" && !m_core.isCurrent()) {
+        answerError(exchange, Errc::Unavailable, Json::Value(Json::objectValue));
     } else if (!route(exchange, body)) {
         answerError(exchange, Errc::NotFound, Json::Value(Json::objectValue));
     }
