Borrow from the floor while a domain has no coordinator

Cause: in a cut-off domain the coordinator lease runs out after 4 s, and a node without a known coordinator asked nobody for tokens, so routes with isolated = serve were refused with 429 although the domain still held its floor for 600 s. The address of the floor's holder in the replicated state is now used when no coordinator is known. Before, promise_keys/withdrawnKeyStopsInIsolatedDomain: 429 for every call of the route; after: 200.

--- a/packages/node/controlplane.cpp
+++ b/packages/node/controlplane.cpp
@@ -72,9 +72,17 @@
     return !m_draining && m_lease.isHeld(m_loop.clock().now());
 }
 
+// In an isolated domain the coordinator lease runs out after 4 s, while the floor may be spent for 600 s.
 std::string ControlPlane::coordinatorAddress() const
 {
-    return m_client.contacts(m_loop.clock().now()).coordinatorAddress;
+    const std::string coordinator = m_client.contacts(m_loop.clock().now()).coordinatorAddress;
+    const auto &floors = m_state.floorHolders();
+    const auto floor = floors.find(self().domain);
+    if (!coordinator.empty() || floor == floors.end()) {
+        return coordinator;
+    }
+    const Member *holder = m_view.find(floor->second.holder);
+    return holder ? holder->peerAddress : std::string();
 }
 
 void ControlPlane::setUpstream(const std::optional<UpstreamAnnouncement> &upstream)
--- a/packages/node/controlplane.h
+++ b/packages/node/controlplane.h
@@ -47,7 +47,7 @@
     {
         return m_lease;
     }
-    /// Peer address of the domain's coordinator; empty if unknown.
+    /// Peer address of the domain's coordinator, without one that of the holder of its floor; empty if unknown.
     std::string coordinatorAddress() const;
     /// Description of this node as it announces it.
     const Member &self() const
