--- a/packages/control/operatorapi.cpp
+++ b/packages/control/operatorapi.cpp
@@ -267,6 +267,10 @@
     page["inForce"]["known"] = inForce.known;
     page["withdrawals"] = withdrawalsPage(leader);
     page["members"] = membersPage();
+    page["floors"] = Json::Value(Json::arrayValue);
+    for (const auto &[domain, floor] : m_core.state().floorHolders()) {
+        page["floors"].append(floor.toJson());
+    }
     return page;
 }
 }
