Make the isolation tests start from a defined state

The node now restarts after the proofs have run out, and still not one old answer is allowed. The key tests wait for the floors, which an isolated domain lives on.

--- a/tests/integration/promise_config.cpp
+++ b/tests/integration/promise_config.cpp
@@ -125,11 +125,17 @@
     BOOST_REQUIRE(waitForLeaderAmong({&host("d1-c1"), &host("d2-c1")}));
     apply(manifest(2));
     Host &node = host("d3-n1");
+    // Until the proofs from before the cut have run out, the control host may pass the old state on.
+    BOOST_REQUIRE(waitFor(
+        [&] {
+            return call(node, "/status", team.key, "x").status == 503;
+        },
+        inForceBoundMs));
     kill(node);
     start(node);
     int answers = 0;
     int old = 0;
-    // Longer than the validity of a proof, so that any proof of before has ended in this time.
+    // The node starts with no state and must find none in this time.
     waitFor(
         [&] {
             const HttpAnswer answer = call(node, "/v1", {}, "x");
--- a/tests/integration/promise_keys.cpp
+++ b/tests/integration/promise_keys.cpp
@@ -134,6 +134,19 @@
                 10000));
         }
     }
+    /// Waits until the nodes of all domains hold their floors, without which an isolated domain has no tokens.
+    void waitForFloors()
+    {
+        BOOST_REQUIRE(waitFor(
+            [this] {
+                const Json::Value status = mustOperatorCall("GET", "/v1/status");
+                return status["floors"].size() == 3
+                    && std::all_of(status["processes"].begin(), status["processes"].end(), [&status](const Json::Value &process) {
+                           return process["index"] == status["index"];
+                       });
+            },
+            20000));
+    }
     bool isDone()
     {
         const Json::Value status = mustOperatorCall("GET", "/v1/status");
@@ -206,6 +219,7 @@
 // still serves.
 BOOST_FIXTURE_TEST_CASE(withdrawnKeyStopsInIsolatedDomain, KeyMesh)
 {
+    waitForFloors();
     startCallers("/status");
     isolate("d3");
     BOOST_REQUIRE(waitForLeaderAmong({&host("d1-c1"), &host("d2-c1")}));
@@ -241,6 +255,7 @@
 // The leader dies in addition, so that a new one has to report the withdrawal (two failures at once).
 BOOST_FIXTURE_TEST_CASE(withdrawnKeyStopsBehindOneWayCutWithoutLeader, KeyMesh)
 {
+    waitForFloors();
     startCallers("/status");
     FaultRule deaf;
     deaf.stallToSender = true;
