--- a/packages/control/clustercore.h
+++ b/packages/control/clustercore.h
@@ -49,7 +49,7 @@
 
     /// Opens the data folder and starts the timers. Returns false if the host cannot run.
     bool open();
-    void propose(const Json::Value &command, ProposeCallback done);
+    void propose(const Json::Value &command, const ProposeCallback &done);
     /// Stops counting as available and hands over what it can.
     void drain();
 
@@ -70,6 +70,8 @@
     {
         return m_leader.get();
     }
+    /// True if this host leads and no other host can have been elected since, so that its state may be read as current.
+    bool isCurrent() const;
     /// Operator address of the leading host, empty if unknown.
     std::string leaderOperatorAddress() const;
     ProcessHost &host()
