--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -32,6 +32,12 @@
     file << text;
 }
 
+std::string daemonProgram()
+{
+    const char *other = std::getenv("YUCCAGRADE_DAEMON");
+    return other ? other : YUCCAGRADED_PROGRAM;
+}
+
 std::string joined(const std::vector<std::string> &items)
 {
     std::string text;
@@ -143,7 +149,7 @@
 void Fleet::start(Host &host)
 {
     if (!host.daemon || !host.daemon->running()) {
-        host.daemon = std::make_unique<Process>(std::vector<std::string>{YUCCAGRADED_PROGRAM, "--settings", path(host, ".ini")}, path(host, ".log"));
+        host.daemon = std::make_unique<Process>(std::vector<std::string>{daemonProgram(), "--settings", path(host, ".ini")}, path(host, ".log"));
     }
     if (host.isControl || (host.upstream && host.upstream->running())) {
         return;
@@ -155,6 +161,7 @@
     add("--slots", std::to_string(host.plan.slots));
     add("--connections", std::to_string(host.plan.connections));
     add("--service-ms", std::to_string(host.plan.serviceMs));
+    add("--execution-log", path(host, ".executions"));
     for (const std::string &nested : host.plan.nested) {
         add("--nested", nested);
     }
@@ -329,6 +336,20 @@
     return httpCall(request);
 }
 
+std::vector<Execution> Fleet::executions() const
+{
+    std::vector<Execution> result;
+    for (const auto &host : m_hosts) {
+        std::ifstream file(path(*host, ".executions"));
+        Execution execution;
+        execution.host = host->id;
+        while (file >> execution.atMs >> execution.path >> execution.action >> execution.body) {
+            result.push_back(execution);
+        }
+    }
+    return result;
+}
+
 Json::Value Fleet::upstreamStats(const Host &node)
 {
     return json(httpCall({"GET", node.upstreamAddress, "/control/stats"}));
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -50,12 +50,22 @@
     std::unique_ptr<Process> upstream = {}; ///< node only
 };
 
+/// One execution at a stand-in upstream, also of one that was killed since.
+struct Execution {
+    std::string host = {};
+    double atMs = 0; ///< steadyMs() at the start of the work
+    std::string path = {};
+    std::string action = {}; ///< Idempotency-Key, "-" for none
+    std::string body = {}; ///< up to the first dot, space or line end; must not be empty
+};
+
 struct TeamKey {
     std::string id;
     std::string key;
 };
 
 /// A whole mesh in a temporary folder, which is kept if the environment variable YUCCAGRADE_KEEP_FOLDER is set.
+/// The environment variable YUCCAGRADE_DAEMON names another daemon program, for trials with a mechanism switched off.
 /// The waiting functions throw std::runtime_error when their bound has passed.
 class Fleet
 {
@@ -97,6 +107,8 @@
     /// Sends POST @p path to a node; @p action is the Idempotency-Key, empty for none.
     static HttpAnswer call(const Host &node, const std::string &path, const std::string &key, const std::string &body, const std::string &action = {});
     static Json::Value upstreamStats(const Host &node);
+    /// Executions at all upstreams since the start of the fleet.
+    std::vector<Execution> executions() const;
 
     /// Sets the rule for all connections between both groups, in both directions; only with FleetPlan::proxied.
     void partition(const std::vector<Host *> &one, const std::vector<Host *> &other, const FaultRule &rule);
--- a/tests/support/upstream.cpp
+++ b/tests/support/upstream.cpp
@@ -5,6 +5,7 @@
 #include "support/upstreamcall.h"
 #include "support/wait.h"
 
+#include <fcntl.h>
 #include <microhttpd.h>
 #include <sys/epoll.h>
 #include <sys/timerfd.h>
@@ -46,6 +47,7 @@
     std::deque<Call *> inbox;
     Faults faults;
     Json::Value stats;
+    int executionFd = -1; ///< append-only: counts executions beyond the life of the process
     double lastReceivedMs = steadyMs();
     bool closing = false;
     std::atomic<bool> stopping = false;
@@ -70,6 +72,7 @@
     void receive();
     void startWaiting();
     void startWork(Call *call);
+    void recordExecution(const Call &call) const;
     double workMs();
     void onTimer(Call *call);
     void startNested(Call *call);
@@ -207,6 +210,7 @@
     ++running;
     call->holdsSlot = true;
     count("executed");
+    recordExecution(*call);
     raise("concurrencyMax", static_cast<size_t>(running));
     const auto key = call->headers.find("idempotency-key");
     if (key != call->headers.end()) {
@@ -216,6 +220,20 @@
     timers.emplace(steadyMs() + workMs(), call);
 }
 
+/// One write per execution before its work: the record is in the file even if the process is killed right after.
+void Upstream::Impl::recordExecution(const Call &call) const
+{
+    if (executionFd < 0) {
+        return;
+    }
+    const auto key = call.headers.find("idempotency-key");
+    const std::string line = std::to_string(steadyMs()) + ' ' + call.path + ' ' + (key == call.headers.end() ? "-" : key->second) + ' '
+        + call.body.substr(0, call.body.find_first_of(". \n")) + '\n';
+    if (write(executionFd, line.data(), line.size()) != static_cast<ssize_t>(line.size())) {
+        std::abort(); // a lost record would hide a second execution
+    }
+}
+
 double Upstream::Impl::workMs()
 {
     double factor = faults.slow;
@@ -422,6 +440,12 @@
     }
     impl.stats["executions"] = Json::objectValue;
     impl.stats["headers"] = Json::objectValue;
+    if (!options.executionLog.empty()) {
+        impl.executionFd = open(options.executionLog.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+        if (impl.executionFd < 0) {
+            throw std::runtime_error("cannot open " + options.executionLog);
+        }
+    }
     const sockaddr_in where = socketAddress(options.listenAddress);
     // The control path needs connections even when the node uses all that are announced.
     const auto limit = static_cast<unsigned>(options.connections + 16);
@@ -477,6 +501,9 @@
     curl_multi_cleanup(impl.multi);
     close(impl.epollFd);
     close(impl.timerFd);
+    if (impl.executionFd >= 0) {
+        close(impl.executionFd);
+    }
 }
 
 std::string Upstream::address() const
--- a/tests/support/upstream.h
+++ b/tests/support/upstream.h
@@ -19,6 +19,7 @@
     bool exponential = false; ///< service time drawn from an exponential distribution with mean serviceMs
     std::uint64_t seed = 1;
     std::vector<std::string> nested = {}; ///< paths to call one after the other through the own node
+    std::string executionLog = {}; ///< file to which each execution is appended (see Execution); survives a kill
 };
 
 /// A stand-in upstream. It answers {"service", "path", "echo": request body, "nested": [answers], "complete": true}.
--- a/tests/support/upstreammain.cpp
+++ b/tests/support/upstreammain.cpp
@@ -20,6 +20,7 @@
     add("exponential", po::bool_switch(&options.exponential), "exponential instead of fixed service time");
     add("seed", po::value(&options.seed));
     add("nested", po::value(&options.nested), "path to call through the node; may be repeated");
+    add("execution-log", po::value(&options.executionLog), "file to which each execution is appended");
     try {
         po::variables_map values;
         po::store(po::parse_command_line(argc, argv, description), values);
