Refuse a key of any team outside the credentials, on open routes too

Cause: only the caller's own key was searched for, and only on routes that need one. A key in the query, body or a header of a request to an open route, and the key of another team on any route, reached the upstream. Ruled out: the Authorization and Proxy-Authorization headers, which are removed, and the caller's own key in a query, which was refused before. A key in an encoded form inside a body is not recognized.

--- a/packages/node/entrygate.cpp
+++ b/packages/node/entrygate.cpp
@@ -25,15 +25,30 @@
     return {status, event, Outcome::NotRun, std::move(detail), retryS};
 }
 
-// A key anywhere else in the request would be passed on to the upstream.
-bool containsKeyOutsideCredentials(const HttpRequest &request, const std::string &key)
+constexpr std::string_view keyPrefix = "ygk_";
+
+// Recognizes the form ygk_ID. of a key, whatever follows it: a key that this node does not know yet must not leak either.
+bool containsKey(std::string_view text)
 {
-    const auto contains = [&key](const std::string &text) {
-        return text.find(key) != std::string::npos;
+    const auto isIdCharacter = [](char c) {
+        return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' || c == '_';
     };
-    return contains(request.path) || contains(request.query) || contains(request.body)
-        || std::any_of(request.headers.begin(), request.headers.end(), [&](const auto &header) {
-               return header.first != Headers::authorization && contains(header.second);
+    for (std::size_t at = text.find(keyPrefix); at != std::string_view::npos; at = text.find(keyPrefix, at + 1)) {
+        const std::string_view rest = text.substr(at + keyPrefix.size());
+        const auto end = std::find_if_not(rest.begin(), rest.end(), isIdCharacter);
+        if (end != rest.begin() && end != rest.end() && *end == '.') {
+            return true;
+        }
+    }
+    return false;
+}
+
+// A key of any team outside the credentials would be passed on to the upstream, on open routes too.
+bool containsKeyOutsideCredentials(const HttpRequest &request)
+{
+    return containsKey(request.path) || containsKey(request.query) || containsKey(request.body)
+        || std::any_of(request.headers.begin(), request.headers.end(), [](const auto &header) {
+               return header.first != Headers::authorization && containsKey(header.second);
            });
 }
 
@@ -126,6 +141,9 @@
     if (request.route->internal) {
         return notRun(404, Event::RouteUnknown, "no route matches the method and path");
     }
+    if (containsKeyOutsideCredentials(request.exchange->request())) {
+        return notRun(400, Event::MalformedRequest, "a key must stand in the Authorization header only");
+    }
     setDeadline(request);
     request.budget = AttemptBudget(request.manifest->limits.retries);
     return request.route->open ? std::nullopt : authenticate(request);
@@ -139,9 +157,6 @@
     if (key.empty()) {
         return notRun(401, Event::KeyUnknown, "the Authorization header with the team's key is missing");
     }
-    if (containsKeyOutsideCredentials(request.exchange->request(), key)) {
-        return notRun(400, Event::MalformedRequest, "the key must stand in the Authorization header only");
-    }
     if (!m_parts.plane.isFresh() && !request.route->isolatedServe) {
         return notRun(statusServiceUnavailable, Event::RequestRefusedIsolated, "the node cannot confirm that the key is valid", retryAfterS);
     }
