--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -340,7 +340,13 @@
 {
     std::vector<Execution> result;
     for (const auto &host : m_hosts) {
+        if (!host->upstream) {
+            continue;
+        }
         std::ifstream file(path(*host, ".executions"));
+        if (!file) {
+            throw std::runtime_error("no record of the executions at " + host->id);
+        }
         Execution execution;
         execution.host = host->id;
         while (file >> execution.atMs >> execution.path >> execution.action >> execution.body) {
--- a/tests/support/load.cpp
+++ b/tests/support/load.cpp
@@ -49,6 +49,12 @@
     {
         return steadyMs() - m_originMs;
     }
+    void countInBin(std::vector<std::uint64_t> &bins) const
+    {
+        const auto bin = static_cast<size_t>(nowMs() / LoadResult::binMs);
+        bins.resize(std::max(bins.size(), bin + 1));
+        ++bins[bin];
+    }
     bool open(const StreamState &stream, double now) const
     {
         return now < std::min(stream.options->endMs, m_options.durationMs) && stream.result->requests < stream.options->maxRequests;
@@ -172,15 +178,14 @@
         ++result.shortened;
     } else if (answer.status != 200) {
         const auto outcome = answer.headers.find("yuccagrade-outcome");
+        countInBin(result.refusals);
         ++result.refused[std::to_string(answer.status) + ' ' + (outcome == answer.headers.end() ? "-" : outcome->second)];
     } else if (!isOwnWholeAnswer(answer.body, caller.body)) {
         ++result.wrong;
     } else {
         ++result.whole;
         result.latenciesMs.push_back(steadyMs() - caller.startedMs);
-        const auto bin = static_cast<size_t>(nowMs() / LoadResult::binMs);
-        result.goodput.resize(std::max(result.goodput.size(), bin + 1));
-        ++result.goodput[bin];
+        countInBin(result.goodput);
         return true;
     }
     return false;
--- a/tests/support/load.h
+++ b/tests/support/load.h
@@ -46,6 +46,7 @@
     std::map<std::string, std::uint64_t> failed = {}; ///< no status line, by curl's text
     std::vector<double> latenciesMs = {}; ///< of whole answers from the start of the attempt, ascending
     std::vector<std::uint64_t> goodput = {}; ///< whole answers per 50 ms since the start of the run
+    std::vector<std::uint64_t> refusals = {}; ///< refused attempts per 50 ms since the start of the run
     double maxLagMs = 0; ///< largest delay between the planned and the actual start of an open-loop request
 
     /// Returns the latency in ms that a fraction @p q of the whole answers does not exceed; 0 without answers.
--- a/tests/support/upstream.cpp
+++ b/tests/support/upstream.cpp
@@ -36,6 +36,7 @@
     double coldSinceMs = 0;
     bool draining = false;
     bool announce = true;
+    unsigned nestedFailureStatus = 500;
 };
 }
 
@@ -154,6 +155,7 @@
     faults.lateMs = number("late", faults.lateMs);
     faults.draining = number("drain", faults.draining) != 0;
     faults.announce = number("announce", faults.announce) != 0;
+    faults.nestedFailureStatus = static_cast<unsigned>(number("failure", faults.nestedFailureStatus));
     if (value("cold")) {
         faults.coldMs = number("cold", 0);
         faults.coldSinceMs = steadyMs();
@@ -289,7 +291,7 @@
     const HttpAnswer &answer = transfer->finish(error);
     if (answer.error != CURLE_OK || answer.status != 200) {
         count("nestedFailed");
-        call->status = 500;
+        call->status = faults.nestedFailureStatus;
         endWork(call);
         return;
     }
--- a/tests/support/upstream.h
+++ b/tests/support/upstream.h
@@ -24,7 +24,8 @@
 
 /// A stand-in upstream. It answers {"service", "path", "echo": request body, "nested": [answers], "complete": true}.
 /// `GET /control?name=value` switches its faults: slow=FACTOR, shed=0|1, broken=none|short|middle|noanswer|foreign, late=MS,
-/// cold=MS (five times slower at first, normal after MS), drain=0|1, announce=0|1. `GET /control/stats` returns stats().
+/// cold=MS (five times slower at first, normal after MS), drain=0|1, announce=0|1,
+/// failure=STATUS (of an answer whose nested call failed, 500 at first). `GET /control/stats` returns stats().
 /// A call occupies a slot while it works and while its nested calls run; further calls wait in order of arrival.
 class Upstream
 {
