Refuse with 503 instead of 404 while a node has no configuration

Cause: a node that has just started has an empty route table, so a request in the time before its first sync was answered with 404, which tells the caller not to try again.

--- a/packages/node/entrygate.cpp
+++ b/packages/node/entrygate.cpp
@@ -135,6 +135,10 @@
     if (m_draining) {
         return notRun(statusServiceUnavailable, Event::RequestRefusedDraining, "this node takes no new work", retryAfterS);
     }
+    if (m_parts.plane.state().index() == 0) {
+        // A node that has just started knows no routes yet; 404 would tell the caller not to try again.
+        return notRun(statusServiceUnavailable, Event::RequestRefusedIsolated, "this node has no configuration yet", retryAfterS);
+    }
     if (auto problem = findRoute(request)) {
         return problem;
     }
