--- a/tests/support/load.cpp
+++ b/tests/support/load.cpp
@@ -177,7 +177,8 @@
         ++result.wrong;
     } else {
         ++result.whole;
-        result.latenciesMs.push_back(steadyMs() - caller.startedMs);
+        result.spans.push_back({caller.startedMs, steadyMs()});
+        result.latenciesMs.push_back(result.spans.back().endMs - caller.startedMs);
         const auto bin = static_cast<size_t>(nowMs() / LoadResult::binMs);
         result.goodput.resize(std::max(result.goodput.size(), bin + 1));
         ++result.goodput[bin];
--- a/tests/support/load.h
+++ b/tests/support/load.h
@@ -32,6 +32,12 @@
     std::vector<LoadStream> streams;
 };
 
+/// Times of one attempt on the clock of steadyMs().
+struct LoadSpan {
+    double startMs = 0;
+    double endMs = 0;
+};
+
 /// Outcome of one stream. Each attempt is exactly one of whole, wrong, refused and failed.
 struct LoadResult {
     static constexpr double binMs = 50;
@@ -46,6 +52,7 @@
     std::map<std::string, std::uint64_t> failed = {}; ///< no status line, by curl's text
     std::vector<double> latenciesMs = {}; ///< of whole answers from the start of the attempt, ascending
     std::vector<std::uint64_t> goodput = {}; ///< whole answers per 50 ms since the start of the run
+    std::vector<LoadSpan> spans = {}; ///< of whole answers, in the order of their ends
     double maxLagMs = 0; ///< largest delay between the planned and the actual start of an open-loop request
 
     /// Returns the latency in ms that a fraction @p q of the whole answers does not exceed; 0 without answers.
