--- a/tests/support/load.cpp
+++ b/tests/support/load.cpp
@@ -32,6 +32,7 @@
     std::string body = {};
     int attemptsLeft = 0;
     double startedMs = 0;
+    double requestMs = 0; ///< start of the first attempt since the start of the run
     Transfer transfer = {};
 };
 
@@ -62,6 +63,7 @@
     void startRequest(StreamState &stream);
     void startAttempt(Caller &caller);
     bool classify(Caller &caller, const HttpAnswer &answer);
+    static StartBin &startBin(LoadResult &result, double atMs);
     void onDone(Caller &caller, CURLcode error);
     void completeTransfers();
     double nextEventMs() const;
@@ -117,6 +119,7 @@
                 startRequest(stream);
             } else {
                 ++stream.result->skipped;
+                ++startBin(*stream.result, now).requests;
             }
         }
     }
@@ -136,9 +139,18 @@
     caller.attemptsLeft = stream.options->attempts;
     ++stream.result->requests;
     ++m_inFlight;
+    caller.requestMs = nowMs();
+    ++startBin(*stream.result, caller.requestMs).requests;
     startAttempt(caller);
 }
 
+StartBin &Generator::startBin(LoadResult &result, double atMs)
+{
+    const auto bin = static_cast<size_t>(atMs / LoadResult::binMs);
+    result.byStart.resize(std::max(result.byStart.size(), bin + 1));
+    return result.byStart[bin];
+}
+
 void Generator::startAttempt(Caller &caller)
 {
     StreamState &stream = *caller.stream;
@@ -181,6 +193,9 @@
         const auto bin = static_cast<size_t>(nowMs() / LoadResult::binMs);
         result.goodput.resize(std::max(result.goodput.size(), bin + 1));
         ++result.goodput[bin];
+        StartBin &start = startBin(result, caller.requestMs);
+        ++start.whole;
+        start.latencySumMs += nowMs() - caller.requestMs;
         return true;
     }
     return false;
--- a/tests/support/load.h
+++ b/tests/support/load.h
@@ -32,6 +32,13 @@
     std::vector<LoadStream> streams;
 };
 
+/// Requests that started, or were skipped, within one bin of LoadResult::binMs.
+struct StartBin {
+    std::uint64_t requests = 0;
+    std::uint64_t whole = 0; ///< requests with a complete answer in any attempt
+    double latencySumMs = 0; ///< of these, from the start of the request
+};
+
 /// Outcome of one stream. Each attempt is exactly one of whole, wrong, refused and failed.
 struct LoadResult {
     static constexpr double binMs = 50;
@@ -46,6 +53,7 @@
     std::map<std::string, std::uint64_t> failed = {}; ///< no status line, by curl's text
     std::vector<double> latenciesMs = {}; ///< of whole answers from the start of the attempt, ascending
     std::vector<std::uint64_t> goodput = {}; ///< whole answers per 50 ms since the start of the run
+    std::vector<StartBin> byStart = {}; ///< by the start of the request since the start of the run
     double maxLagMs = 0; ///< largest delay between the planned and the actual start of an open-loop request
 
     /// Returns the latency in ms that a fraction @p q of the whole answers does not exceed; 0 without answers.
