--- a/tests/measure/addedtime.cpp
+++ b/tests/measure/addedtime.cpp
@@ -59,6 +59,7 @@
                                                                           {"node of the upstream", server.daemon.get()},
                                                                           {"upstream", server.upstream.get()}};
     std::vector<double> cpuBefore;
+    cpuBefore.reserve(processes.size());
     for (const auto &[name, process] : processes) {
         cpuBefore.push_back(process->cpuSeconds());
     }
--- a/tests/measure/fairness.cpp
+++ b/tests/measure/fairness.cpp
@@ -42,6 +42,7 @@
     }
     fleet.apply(manifest);
     std::vector<std::string> keys;
+    keys.reserve(teamCount);
     for (int i = 0; i < teamCount; ++i) {
         keys.push_back(fleet.giveKey(teamName(i)).key);
     }
--- a/tests/measure/goodput.cpp
+++ b/tests/measure/goodput.cpp
@@ -139,6 +139,7 @@
                 options.back().seed = ++seed;
             }
             std::vector<std::future<std::vector<LoadResult>>> running;
+            running.reserve(options.size());
             for (const LoadOptions &one : options) {
                 running.push_back(std::async(std::launch::async, runLoad, std::cref(one)));
             }
