--- a/tests/support/load.cpp
+++ b/tests/support/load.cpp
@@ -32,6 +32,7 @@
     std::string body = {};
     int attemptsLeft = 0;
     double startedMs = 0;
+    double requestMs = 0; ///< start of the first attempt since the start of the run
     Transfer transfer = {};
 };
 
@@ -68,6 +69,7 @@
     void startRequest(StreamState &stream);
     void startAttempt(Caller &caller);
     bool classify(Caller &caller, const HttpAnswer &answer);
+    static StartBin &startBin(LoadResult &result, double atMs);
     void onDone(Caller &caller, CURLcode error);
     void completeTransfers();
     double nextEventMs() const;
@@ -123,6 +125,7 @@
                 startRequest(stream);
             } else {
                 ++stream.result->skipped;
+                ++startBin(*stream.result, now).requests;
             }
         }
     }
@@ -142,9 +145,18 @@
     caller.attemptsLeft = stream.options->attempts;
     ++stream.result->requests;
     ++m_inFlight;
+    caller.requestMs = nowMs();
+    ++startBin(*stream.result, caller.requestMs).requests;
     startAttempt(caller);
 }
 
+StartBin &Generator::startBin(LoadResult &result, double atMs)
+{
+    const auto bin = static_cast<size_t>(atMs / LoadResult::binMs);
+    result.byStart.resize(std::max(result.byStart.size(), bin + 1));
+    return result.byStart[bin];
+}
+
 void Generator::startAttempt(Caller &caller)
 {
     StreamState &stream = *caller.stream;
@@ -184,13 +196,12 @@
         ++result.wrong;
     } else {
         ++result.whole;
-        result.latenciesMs.push_back(steadyMs() - caller.startedMs);
-        countInBin(result.goodput);
         result.spans.push_back({caller.startedMs, steadyMs()});
         result.latenciesMs.push_back(result.spans.back().endMs - caller.startedMs);
-        const auto bin = static_cast<size_t>(nowMs() / LoadResult::binMs);
-        result.goodput.resize(std::max(result.goodput.size(), bin + 1));
-        ++result.goodput[bin];
+        countInBin(result.goodput);
+        StartBin &start = startBin(result, caller.requestMs);
+        ++start.whole;
+        start.latencySumMs += nowMs() - caller.requestMs;
         return true;
     }
     return false;
