--- a/tests/support/upstream.cpp
+++ b/tests/support/upstream.cpp
@@ -243,7 +243,10 @@
 
 void Upstream::Impl::startNested(Call *call)
 {
-    HttpRequest request{"POST", options.nodeAddress, options.nested[call->nested.size()], call->body};
+    const std::string &nested = options.nested[call->nested.size()];
+    const auto slash = nested.find('/');
+    const std::string method = slash > 1 ? nested.substr(0, slash - 1) : "POST";
+    HttpRequest request{method, options.nodeAddress, nested.substr(slash), method == "GET" ? std::string() : call->body};
     request.sourceIp = ipOf(options.listenAddress);
     for (const char *name : {"yuccagrade-context", "yuccagrade-timeout-ms", "idempotency-key"}) {
         const auto found = call->headers.find(name);
--- a/tests/support/upstream.h
+++ b/tests/support/upstream.h
@@ -18,7 +18,7 @@
     double serviceMs = 5;
     bool exponential = false; ///< service time drawn from an exponential distribution with mean serviceMs
     std::uint64_t seed = 1;
-    std::vector<std::string> nested = {}; ///< paths to call one after the other through the own node
+    std::vector<std::string> nested = {}; ///< "path" (POST) or "METHOD path" to call one after the other through the own node
 };
 
 /// A stand-in upstream. It answers {"service", "path", "echo": request body, "nested": [answers], "complete": true}.
--- a/tests/support/upstreammain.cpp
+++ b/tests/support/upstreammain.cpp
@@ -19,7 +19,7 @@
     add("service-ms", po::value(&options.serviceMs));
     add("exponential", po::bool_switch(&options.exponential), "exponential instead of fixed service time");
     add("seed", po::value(&options.seed));
-    add("nested", po::value(&options.nested), "path to call through the node; may be repeated");
+    add("nested", po::value(&options.nested), "path, or METHOD and path, to call through the node; may be repeated");
     try {
         po::variables_map values;
         po::store(po::parse_command_line(argc, argv, description), values);
