Report a manifest in force only when the leader knows all processes

A new leader lists only the processes that have synced with it, so apply and the event manifest-in-force could report success right after an election. Status now holds everywhereIndex.

--- a/apps/yuccagrade/statuspage.cpp
+++ b/apps/yuccagrade/statuspage.cpp
@@ -19,7 +19,7 @@
     Json::Value inForce;
     JsonReader reader(value);
     reader.read("leader", page.leader).read("term", page.term).read("index", page.index).read("manifestVersion", page.manifestVersion);
-    reader.readList("processes", page.processes).read("inForce", inForce).read("withdrawals", page.withdrawals);
+    reader.read("everywhereIndex", page.everywhereIndex).readList("processes", page.processes).read("inForce", inForce).read("withdrawals", page.withdrawals);
     return reader.ok() && page.withdrawals.isArray() && JsonReader(inForce).read("confirmed", page.confirmed).read("known", page.known).ok();
 }
 
--- a/apps/yuccagrade/statuspage.h
+++ b/apps/yuccagrade/statuspage.h
@@ -27,6 +27,7 @@
     std::vector<ProcessStatus> processes;
     std::uint64_t confirmed = 0; ///< processes that confirmed the current manifest
     std::uint64_t known = 0;
+    std::uint64_t everywhereIndex = 0; ///< confirmed by every process that may hold a valid proof; 0 soon after an election
     Json::Value withdrawals{Json::arrayValue};
 
     static bool fromJson(const Json::Value &value, StatusPage &page);
--- a/packages/control/leaderduties.cpp
+++ b/packages/control/leaderduties.cpp
@@ -179,7 +179,8 @@
     const ClusterState &state = m_core.state();
     const InForce manifest = leader.confirmations.inForce(state.manifestIndex());
     const std::uint64_t version = state.manifest()->version;
-    if (version > m_manifestInForce && manifest.confirmed == manifest.known) {
+    // A new leader learns of the processes only with their syncs, so the count alone is not enough.
+    if (version > m_manifestInForce && leader.confirmations.confirmedByAll(now) >= state.manifestIndex()) {
         m_manifestInForce = version;
         m_core.host().log().write(Event::ManifestInForce, {{"version", std::to_string(version)}, {"processes", std::to_string(manifest.known)}});
     }
--- a/packages/control/operatorapi.cpp
+++ b/packages/control/operatorapi.cpp
@@ -212,6 +212,7 @@
     const InForce inForce = leader.confirmations.inForce(m_core.state().manifestIndex());
     page["inForce"]["confirmed"] = inForce.confirmed;
     page["inForce"]["known"] = inForce.known;
+    page["everywhereIndex"] = Json::UInt64{leader.confirmations.confirmedByAll(m_core.host().loop().clock().now())};
     page["withdrawals"] = withdrawalsPage(leader);
     return page;
 }
