--- a/packages/protocol/peerlink.h
+++ b/packages/protocol/peerlink.h
@@ -7,6 +7,12 @@
 
 namespace Yuccagrade
 {
+/// Bytes of the HTTP messages of a PeerLink: headers that it sets, bodies, and an estimate of the other headers.
+struct PeerTraffic {
+    std::uint64_t sent = 0;
+    std::uint64_t received = 0;
+};
+
 /// Sends and serves authenticated JSON-RPC calls between own processes.
 class PeerLink
 {
@@ -23,6 +29,11 @@
     void handle(const std::shared_ptr<HttpExchange> &exchange);
     /// Calls a method of the process at @p address. Errors: those of HttpResult, Unauthenticated, RemoteError.
     void call(const std::string &address, const std::string &method, const Json::Value &parameters, TimeMs timeoutMs, Callback callback);
+    /// Returns the bytes of all messages since the start; the data path is not included.
+    const PeerTraffic &traffic() const
+    {
+        return m_traffic;
+    }
 
 private:
     EventLoop &m_loop;
@@ -31,5 +42,6 @@
     EventLog &m_log;
     RpcDispatcher m_dispatcher;
     PeerSender m_sender; ///< sender of the call that the dispatcher runs now
+    PeerTraffic m_traffic;
 };
 }
--- a/packages/runtime/processhost.cpp
+++ b/packages/runtime/processhost.cpp
@@ -108,6 +108,7 @@
         m_log.write(Event::PeerRejected, {{"reason", "operator secret does not match"}, {"from", request.remoteAddress}});
         exchange->respond({401, {}, {}});
     } else if (request.path == "/metrics") {
+        countTraffic();
         if (metricsHook) {
             metricsHook(m_metrics);
         }
@@ -122,6 +123,14 @@
     }
 }
 
+void ProcessHost::countTraffic()
+{
+    constexpr auto name = "yuccagrade_peer_bytes_total";
+    for (const auto &[labels, total] : {std::pair{R"(direction="sent")", m_link->traffic().sent}, {R"(direction="received")", m_link->traffic().received}}) {
+        m_metrics.count(name, labels, static_cast<double>(total) - m_metrics.value(name, labels));
+    }
+}
+
 void ProcessHost::drain()
 {
     if (m_draining) {
--- a/packages/runtime/processhost.h
+++ b/packages/runtime/processhost.h
@@ -81,6 +81,7 @@
     void handlePeer(const std::shared_ptr<HttpExchange> &exchange);
     void handleOperator(const std::shared_ptr<HttpExchange> &exchange);
     void checkDrained();
+    void countTraffic();
 
     Settings m_settings;
     EventLoop m_loop;
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -13,7 +13,7 @@
 
 namespace Yuccagrade::Test
 {
-Process::Process(const std::vector<std::string> &arguments, const std::string &outputFile)
+Process::Process(const std::vector<std::string> &arguments, const std::string &outputFile, const std::string &errorFile)
 {
     std::vector<char *> argv;
     argv.reserve(arguments.size() + 1);
@@ -25,7 +25,11 @@
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, STDIN_FILENO, "/dev/null", O_RDONLY, 0);
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, outputFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    if (errorFile.empty()) {
+        posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    } else {
+        posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, errorFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    }
     const int error = posix_spawn(&m_pid, argv[0], &actions, nullptr, argv.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
     if (error != 0) {
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -12,8 +12,9 @@
 class Process
 {
 public:
-    /// Starts @p arguments[0]; its output is appended to @p outputFile. Throws std::system_error.
-    Process(const std::vector<std::string> &arguments, const std::string &outputFile);
+    /// Starts @p arguments[0]; its output is appended to @p outputFile, that of the error stream to @p errorFile if given.
+    /// Throws std::system_error.
+    Process(const std::vector<std::string> &arguments, const std::string &outputFile, const std::string &errorFile = {});
     ~Process();
     Process(const Process &) = delete;
     Process &operator=(const Process &) = delete;
