--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -51,6 +51,7 @@
 Fleet::Fleet(const FleetPlan &plan)
     : m_folder(makeFolder())
     , m_operatorSecret(randomToken(32))
+    , m_upstreams(plan.upstreams)
     , m_proxy(plan.proxied ? std::make_unique<FaultProxy>() : nullptr)
 {
     writeFile(m_folder + "/cluster-secret", randomToken(32), true);
@@ -145,7 +146,7 @@
     if (!host.daemon || !host.daemon->running()) {
         host.daemon = std::make_unique<Process>(std::vector<std::string>{YUCCAGRADED_PROGRAM, "--settings", path(host, ".ini")}, path(host, ".log"));
     }
-    if (host.isControl || (host.upstream && host.upstream->running())) {
+    if (host.isControl || !m_upstreams || (host.upstream && host.upstream->running())) {
         return;
     }
     std::vector<std::string> arguments{TESTUPSTREAM_PROGRAM, "--service", host.plan.service, "--listen", host.upstreamAddress, "--node", host.callerAddress};
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -31,6 +31,7 @@
 struct FleetPlan {
     std::vector<DomainPlan> domains;
     bool proxied = false; ///< puts the fault proxy in front of every peer address
+    bool upstreams = true; ///< starts an upstream process beside every node
 };
 
 /// One host: its settings and processes. Ids are "<domain>-c<n>" for control and "<domain>-n<n>" for nodes, from 1.
@@ -113,6 +114,7 @@
 
     std::string m_folder;
     std::string m_operatorSecret;
+    bool m_upstreams;
     std::unique_ptr<FaultProxy> m_proxy;
     std::vector<std::unique_ptr<Host>> m_hosts;
     std::string m_leaderAddress; ///< operator address to try first
