Let a cut-off domain use its floor after the coordinator lease has ended

Nodes asked only a coordinator with a valid lease for tokens, so routes with isolated = serve were answered with 429 once the lease of a cut-off domain had run out. They now ask the holder of the floor. The metric yuccagrade_floor_fraction shows who holds one.

--- a/packages/node/noderuntime.cpp
+++ b/packages/node/noderuntime.cpp
@@ -157,6 +157,8 @@
     metrics.gauge("yuccagrade_coordinator", m_plane.isCoordinator() ? 1 : 0);
     metrics.gauge("yuccagrade_members_up", static_cast<double>(m_plane.view().upMembers().size()));
     metrics.gauge("yuccagrade_claim_replicas_abstaining", m_claims.abstaining());
+    const auto share = m_quota.share();
+    metrics.gauge("yuccagrade_floor_fraction", share && share->floorMs > 0 ? share->floorFraction : 0);
 }
 }
 
--- a/packages/node/quotaagent.cpp
+++ b/packages/node/quotaagent.cpp
@@ -67,8 +67,28 @@
     }
 }
 
-// Returns the coordinator of the domain, or while that does not answer one of another domain. Without this, the loss of a
-// coordinator refuses every keyed call of its domain until the lease has run out.
+// Returns the holder of the domain's floor, empty if it is unknown or has no share.
+std::string QuotaAgent::floorHolderAddress(TimeMs now) const
+{
+    const auto &floors = m_plane.state().floorHolders();
+    const auto floor = floors.find(m_plane.self().domain);
+    if (floor == floors.end()) {
+        return {};
+    }
+    if (floor->second.holder == m_plane.self().id) {
+        return m_desk.share().fraction(now) > 0 ? m_plane.self().peerAddress : std::string();
+    }
+    for (const Member &member : m_plane.view().upMembers()) {
+        if (member.id == floor->second.holder) {
+            return member.peerAddress;
+        }
+    }
+    return {};
+}
+
+// Returns the coordinator of the domain, or while that does not answer the holder of the domain's floor, or else a
+// coordinator of another domain. Without this, the loss of a coordinator refuses every keyed call of its domain until the
+// lease has run out, and a cut-off domain cannot use its floor, since its lease cannot be renewed.
 std::string QuotaAgent::lenderAddress(TimeMs now) const
 {
     const auto isUsable = [&](const std::string &address) {
@@ -79,6 +99,10 @@
     if (isUsable(own)) {
         return own;
     }
+    const std::string floor = floorHolderAddress(now);
+    if (isUsable(floor)) {
+        return floor;
+    }
     for (const Member &member : m_plane.view().upMembers()) {
         if (member.coordinator && member.id != m_plane.self().id && isUsable(member.peerAddress)) {
             return member.peerAddress;
@@ -91,11 +115,11 @@
 void QuotaAgent::ask()
 {
     const TimeMs now = m_loop.clock().now();
-    const bool isSelf = m_plane.isCoordinator();
-    const std::string lender = isSelf ? std::string() : lenderAddress(now);
-    if (!isSelf && lender.empty()) {
+    const std::string lender = m_plane.isCoordinator() ? m_plane.self().peerAddress : lenderAddress(now);
+    if (lender.empty()) {
         return;
     }
+    const bool isSelf = lender == m_plane.self().peerAddress;
     const auto request = m_client.poll(now);
     if (!request) {
         return;
--- a/packages/node/quotaagent.h
+++ b/packages/node/quotaagent.h
@@ -36,6 +36,7 @@
     };
 
     void tick();
+    std::string floorHolderAddress(TimeMs now) const;
     std::string lenderAddress(TimeMs now) const;
     void ask();
     void askPeers();
--- a/tests/integration/operations.cpp
+++ b/tests/integration/operations.cpp
@@ -55,6 +55,23 @@
         apply(manifest);
         team = giveKey("north");
         waitUntilServing("/status", team.key);
+        // The floors are granted after the first leases; without one a cut-off domain has no tokens.
+        for (const Host *node : nodes()) {
+            BOOST_REQUIRE(waitFor(
+                [&] {
+                    return hasFloor(*node);
+                },
+                15000));
+        }
+    }
+    bool hasFloor(const Host &node) const
+    {
+        std::string secret;
+        std::ifstream(folder() + "/operator-secret") >> secret;
+        const std::string metrics = httpCall({"GET", node.operatorAddress, "/metrics", {}, {"Authorization: Bearer " + secret}}).body;
+        const std::string name = "\nyuccagrade_floor_fraction ";
+        const auto found = metrics.find(name);
+        return found != std::string::npos && std::stod(metrics.substr(found + name.size())) > 0;
     }
     bool answers(const Host &node, const std::string &path, long status, double boundMs = 15000)
     {
