--- a/tests/measure/capacity.cpp
+++ b/tests/measure/capacity.cpp
@@ -14,7 +14,7 @@
 
 // Measures CPU, resident memory and bytes of peer messages per process: idle, with configuration changes, with many
 // keys, with teams that spend tokens and with restarts, at several fleet sizes. Prints one line per size, phase and role,
-// and linear fits over the number of nodes. The upstreams run in this process, so that they do not count.
+// and linear fits over the number of nodes. The arguments NODES DOMAINS select a single size. The upstreams run in this process, so that they do not count.
 using namespace Yuccagrade::Test;
 
 namespace
@@ -293,12 +293,16 @@
 }
 }
 
-int main()
+int main(int argc, char **argv)
 {
+    std::vector<Size> sizes{{12, 4}, {24, 4}, {48, 4}, {24, 2}};
     try {
+        if (argc == 3) {
+            sizes = {{std::stoi(argv[1]), std::stoi(argv[2])}};
+        }
         std::vector<Row> rows;
         std::printf("nodes domains  phase     role         count    cpu-%%      MiB    bytes/s\n");
-        for (const Size &size : {Size{12, 4}, Size{24, 4}, Size{48, 4}, Size{24, 2}}) {
+        for (const Size &size : sizes) {
             const std::vector<Row> more = Trial(size).run();
             rows.insert(rows.end(), more.begin(), more.end());
         }
