--- a/packages/runtime/processhost.h
+++ b/packages/runtime/processhost.h
@@ -83,6 +83,7 @@
     void handlePeer(const std::shared_ptr<HttpExchange> &exchange);
     void handleOperator(const std::shared_ptr<HttpExchange> &exchange);
     void checkDrained();
+    void countTraffic();
     std::vector<HttpServer *> servers() const;
 
     Settings m_settings;
