Fix crashes of nodes under overload; never resend a request silently

Cause: ACE keeps the pointer of a handler whose descriptor was closed before its removal; the loop freed the handler, so a later event or the reactor's destructor called freed memory (kernel log: faults in dispatch_io_event and in Handler_Repository::unbind_all). libcurl resent a request up to 5 times when a reused connection closed before any answer, outside of the retry budget. Change: handlers live as long as the loop and outlive the reactor; a transfer that would send twice ends; the backlog is accepted before the listening socket closes; request targets stay encoded on their way to the upstream, and the search for keys decodes them.

--- a/packages/net/eventloop.cpp
+++ b/packages/net/eventloop.cpp
@@ -28,12 +28,13 @@
     terminateRequested = 1;
 }
 
+// Handler of one descriptor number. It lives as long as the loop: ACE keeps its pointer when a descriptor was closed
+// before its removal, and would later call a freed handler (seen as crashes of nodes under overload).
 class DescriptorHandler : public ACE_Event_Handler
 {
 public:
-    DescriptorHandler(int descriptor, std::function<void(int)> callback)
+    explicit DescriptorHandler(int descriptor)
         : m_descriptor(descriptor)
-        , m_callback(std::move(callback))
     {
     }
     ACE_HANDLE get_handle() const override // NOLINT(readability-identifier-naming): ACE interface
@@ -48,19 +49,20 @@
     {
         return dispatch(EventLoop::Writable);
     }
-    int mask = 0;
+    std::function<void(int)> callback; ///< empty while the descriptor is not watched
+    bool registered = false;
 
 private:
-    // Copies the callback, since it may remove the watch and with it this handler.
-    int dispatch(int readiness)
+    // Copies the callback, since it may replace itself.
+    int dispatch(int readiness) const
     {
-        const auto callback = m_callback;
-        callback(readiness);
+        if (const auto current = callback) {
+            current(readiness);
+        }
         return 0;
     }
 
     int m_descriptor;
-    std::function<void(int)> m_callback;
 };
 
 struct Timer {
@@ -91,9 +93,9 @@
     double waitMs() const;
 
     Clock clock;
-    ACE_Reactor reactor;
+    // Destroyed after the reactor, which calls the handlers that it still knows.
     std::unordered_map<int, std::unique_ptr<DescriptorHandler>> handlers;
-    std::vector<std::unique_ptr<DescriptorHandler>> retired;
+    ACE_Reactor reactor;
     std::unordered_map<TimerId, Timer> timers;
     std::multimap<double, TimerId> due;
     TimerId lastTimer = 0;
@@ -111,7 +113,9 @@
 EventLoop::~EventLoop()
 {
     for (const auto &[descriptor, handler] : m_impl->handlers) {
-        m_impl->reactor.remove_handler(handler.get(), ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
+        if (handler->registered) {
+            m_impl->reactor.remove_handler(handler.get(), ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
+        }
     }
 }
 
@@ -178,7 +182,6 @@
         }
         runPosted();
     }
-    retired.clear();
 }
 
 void EventLoop::run()
@@ -243,22 +246,29 @@
 
 void EventLoop::watch(int descriptor, int mask, std::function<void(int)> callback)
 {
-    unwatch(descriptor);
-    auto handler = std::make_unique<DescriptorHandler>(descriptor, std::move(callback));
-    handler->mask = mask;
-    m_impl->reactor.register_handler(handler.get(), reactorMask(mask));
-    m_impl->handlers[descriptor] = std::move(handler);
+    auto &handler = m_impl->handlers[descriptor];
+    if (!handler) {
+        handler = std::make_unique<DescriptorHandler>(descriptor);
+    }
+    handler->callback = std::move(callback);
+    // Changing the mask in place saves a system call per request against a removal and a new registration.
+    if (handler->registered && m_impl->reactor.mask_ops(handler.get(), reactorMask(mask), ACE_Reactor::SET_MASK) >= 0) {
+        return;
+    }
+    m_impl->reactor.remove_handler(handler.get(), ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
+    handler->registered = m_impl->reactor.register_handler(handler.get(), reactorMask(mask)) == 0;
 }
 
 void EventLoop::unwatch(int descriptor)
 {
     const auto found = m_impl->handlers.find(descriptor);
-    if (found == m_impl->handlers.end()) {
+    if (found == m_impl->handlers.end() || !found->second->registered) {
         return;
     }
-    m_impl->reactor.remove_handler(found->second.get(), ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
-    m_impl->retired.push_back(std::move(found->second)); // it may be the handler that is running
-    m_impl->handlers.erase(found);
+    DescriptorHandler &handler = *found->second;
+    handler.callback = nullptr;
+    handler.registered = false;
+    m_impl->reactor.remove_handler(&handler, ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
 }
 
 void EventLoop::onTerminate(std::function<void()> callback)
--- a/packages/net/http.h
+++ b/packages/net/http.h
@@ -8,11 +8,14 @@
 /// Header fields; names are in lower case.
 using HttpHeaders = std::map<std::string, std::string>;
 
+/// Returns @p text with its percent-encoded bytes decoded.
+std::string decodePercent(const std::string &text);
+
 /// A request as received by HttpServer.
 struct HttpRequest {
     std::string method;
-    std::string path; ///< without the query
-    std::string query; ///< without the question mark
+    std::string path; ///< without the query, as encoded by the sender
+    std::string query; ///< without the question mark, as encoded by the sender
     HttpHeaders headers;
     std::string body;
     std::string remoteAddress; ///< IP number of the sender
--- a/packages/net/httpclient.cpp
+++ b/packages/net/httpclient.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace Yuccagrade
@@ -28,8 +29,17 @@
     std::size_t maxBodyBytes = 0;
     bool tooLarge = false;
     bool chunked = false;
+    bool sent = false; ///< a request was about to be sent
 };
 
+// libcurl resends a request when a reused connection closes before any byte of the response. The caller's retry budget
+// would not see that attempt, so the transfer ends instead.
+int allowOneSend(void *context, char *, char *, int, int)
+{
+    auto &transfer = *static_cast<Transfer *>(context);
+    return std::exchange(transfer.sent, true) ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
 std::size_t appendBody(char *data, std::size_t size, std::size_t count, void *context)
 {
     auto &transfer = *static_cast<Transfer *>(context);
@@ -210,7 +220,7 @@
     curl_easy_getinfo(transfer.easy, CURLINFO_REQUEST_SIZE, &sentBytes);
     curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &status);
     curl_easy_getinfo(transfer.easy, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &announcedBytes);
-    result.bytesSent = sentBytes > 0;
+    result.bytesSent = sentBytes > 0 || transfer.sent;
     result.response = std::move(transfer.response);
     result.response.status = static_cast<int>(status);
     const bool hasNoBody = transfer.call.method == "HEAD" || status == 204 || status == 304;
@@ -293,6 +303,8 @@
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &appendHeader);
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &allowOneSend);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
 }
 
 HttpCallId HttpClient::send(HttpCall call, Callback callback)
--- a/packages/net/httpserver.cpp
+++ b/packages/net/httpserver.cpp
@@ -19,6 +19,7 @@
 {
 // libmicrohttpd does not watch suspended connections, so closed ones are looked for at this period.
 constexpr TimeMs abortCheckMs = 20;
+constexpr int maxBacklog = 1024;
 constexpr int statusBadRequest = 400;
 constexpr int statusTooLarge = 413;
 
@@ -83,6 +84,12 @@
 void ignoreLog(void *, const char *, va_list)
 {
 }
+
+// Leaves the request target encoded: it goes on to the upstream, and an encoded '&' must stay one.
+size_t keepEscapes(void *, MHD_Connection *, char *text)
+{
+    return std::strlen(text);
+}
 }
 
 struct HttpServerCallbacks {
@@ -246,6 +253,9 @@
                                 MHD_OPTION_EXTERNAL_LOGGER,
                                 &ignoreLog,
                                 nullptr,
+                                MHD_OPTION_UNESCAPE_CALLBACK,
+                                &keepEscapes,
+                                nullptr,
                                 MHD_OPTION_SOCK_ADDR,
                                 &socketAddress,
                                 MHD_OPTION_NOTIFY_COMPLETED,
@@ -274,11 +284,28 @@
     return {};
 }
 
+// Takes the connections that wait in the backlog; closing the socket would reset them with their requests.
+void HttpServer::acceptBacklog(int listening)
+{
+    sockaddr_in address{};
+    socklen_t size = sizeof address;
+    for (int i = 0; i < maxBacklog; ++i) {
+        const int connection = accept4(listening, reinterpret_cast<sockaddr *>(&address), &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (connection < 0 || MHD_add_connection(m_daemon, connection, reinterpret_cast<sockaddr *>(&address), size) != MHD_YES) {
+            return;
+        }
+        size = sizeof address;
+    }
+}
+
 void HttpServer::stopListening()
 {
     if (m_daemon && !m_quiesced) {
         m_quiesced = true;
-        close(MHD_quiesce_daemon(m_daemon));
+        const int listening = MHD_quiesce_daemon(m_daemon);
+        acceptBacklog(listening);
+        close(listening);
+        scheduleServe();
     }
 }
 
--- a/packages/net/httpserver.h
+++ b/packages/net/httpserver.h
@@ -98,6 +98,7 @@
 
     void serve();
     void scheduleServe();
+    void acceptBacklog(int listening);
     void scheduleAbortCheck();
     void detectAborts();
 
--- a/packages/node/entrygate.cpp
+++ b/packages/node/entrygate.cpp
@@ -46,7 +46,7 @@
 // A key of any team outside the credentials would be passed on to the upstream, on open routes too.
 bool containsKeyOutsideCredentials(const HttpRequest &request)
 {
-    return containsKey(request.path) || containsKey(request.query) || containsKey(request.body)
+    return containsKey(decodePercent(request.path)) || containsKey(decodePercent(request.query)) || containsKey(request.body)
         || std::any_of(request.headers.begin(), request.headers.end(), [](const auto &header) {
                return header.first != Headers::authorization && containsKey(header.second);
            });
