Fix the last findings of the linter

Cause: a const local kept a string from being moved, and a measure program concatenated in one expression.

--- a/packages/node/quotaagent.cpp
+++ b/packages/node/quotaagent.cpp
@@ -99,7 +99,7 @@
         const auto avoided = m_avoidUntil.find(address);
         return !address.empty() && (avoided == m_avoidUntil.end() || now >= avoided->second);
     };
-    const std::string own = m_plane.coordinatorAddress();
+    std::string own = m_plane.coordinatorAddress();
     if (isUsable(own)) {
         return own;
     }
--- a/tests/measure/measure.cpp
+++ b/tests/measure/measure.cpp
@@ -37,8 +37,10 @@
     }
     for (const std::string &service : services) {
         text += "[service " + service + "]\n";
-        text +=
-            "[route " + service + "]\nmethod = POST\npath = /" + service + "\nservice = " + service + "\nteams = *\npriority = critical\nidempotent = yes\n";
+        text += "[route " + service + "]\nmethod = POST\n";
+        text += "path = /" + service + '\n';
+        text += "service = " + service + '\n';
+        text += "teams = *\npriority = critical\nidempotent = yes\n";
     }
     return text + "[team north]\nrate = 100000\nburst = 100000\n";
 }
