--- a/apps/yuccagraded/main.cpp
+++ b/apps/yuccagraded/main.cpp
@@ -1,5 +1,6 @@
 #include "control/controlruntime.h"
 #include "node/noderuntime.h"
+#include "platform/boot.h"
 
 #include <boost/program_options.hpp>
 
@@ -30,8 +31,8 @@
 {
     po::options_description options(
         "Usage: yuccagraded [--settings] FILE\n\nExit codes: 0 drained, 1 cannot start, 2 usage, 3 findings in the settings\n\nOptions");
-    options.add_options()("settings", po::value<std::string>(), "INI file with the settings of this process")("help", "show this text")("version",
-                                                                                                                                        "show the version");
+    options.add_options()("settings", po::value<std::string>(), "INI file with the settings of this process")(
+        "platform", "run on the users' platform, which names the settings file")("help", "show this text")("version", "show the version");
     try {
         po::variables_map values;
         po::positional_options_description positional;
@@ -45,6 +46,9 @@
             std::cout << versionText << '\n';
             return 0;
         }
+        if (values.count("platform") > 0) {
+            return Platform::run();
+        }
         if (values.count("settings") == 0) {
             std::cerr << "yuccagraded: the settings file is missing; see --help\n";
             return exitUsage;
--- a/packages/base/eventlog.cpp
+++ b/packages/base/eventlog.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <climits>
 #include <fstream>
 #include <json/json.h>
 #include <log4cplus/configurator.h>
@@ -12,7 +13,9 @@
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 #include <map>
+#include <poll.h>
 #include <stdexcept>
+#include <unistd.h>
 #include <utility>
 
 namespace Yuccagrade
@@ -38,6 +41,9 @@
     {Event::DrainStarted, Info, "drain-started", "The process takes no new work and finishes what it holds."},
     {Event::DrainFinished, Info, "drain-finished", "All running work has ended."},
     {Event::ListenFailed, Error, "listen-failed", "A listening socket could not be opened."},
+    {Event::SettingsReloaded, Info, "settings-reloaded", "The settings file was read again."},
+    {Event::LeaderContactLost, Warning, "leader-contact-lost", "The leading control host does not answer."},
+    {Event::LeaderContactRegained, Info, "leader-contact-regained", "The leading control host answers again."},
     {Event::MalformedRequest, Warning, "malformed-request", "A request could not be decoded."},
     {Event::PeerRejected, Warning, "peer-rejected", "A peer message failed authentication or was replayed."},
     {Event::PeerUnreachable, Debug, "peer-unreachable", "A peer did not answer."},
@@ -180,6 +186,9 @@
     Json::StreamWriterBuilder writer;
     Severity threshold = Info;
     std::map<Event, Budget> budgets;
+    bool toOutput = false;
+    std::size_t droppedLines = 0; ///< not taken by standard output since the last line
+    void writeOutput(Json::Value &line);
 };
 
 // Returns false if the event is not written. @p suppressed is the number of events left out before this one.
@@ -203,12 +212,32 @@
     return true;
 }
 
+// A pipe takes up to PIPE_BUF bytes at once or reports that it is full, so a reader that stops never blocks the process.
+void EventLog::Impl::writeOutput(Json::Value &line)
+{
+    if (droppedLines > 0) {
+        line["dropped_lines"] = static_cast<Json::UInt64>(droppedLines);
+    }
+    std::string text = Json::writeString(writer, line) + '\n';
+    if (text.size() > PIPE_BUF) {
+        text = text.substr(0, PIPE_BUF - 1) + '\n';
+    }
+    pollfd output{STDOUT_FILENO, POLLOUT, 0};
+    const bool ready = ::poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+    if (ready && ::write(STDOUT_FILENO, text.data(), text.size()) == static_cast<ssize_t>(text.size())) {
+        droppedLines = 0;
+    } else {
+        ++droppedLines;
+    }
+}
+
 EventLog::EventLog(Clock clock, std::string process, const std::string &file, Severity threshold)
     : m_impl(std::make_unique<Impl>(std::move(clock)))
 {
     m_impl->process = std::move(process);
     m_impl->threshold = threshold;
     m_impl->writer["indentation"] = "";
+    m_impl->toOutput = file == "-";
     m_impl->logger = log4cplus::Logger::getInstance("yuccagrade");
     if (m_impl->logger.getAllAppenders().empty()) {
         log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
@@ -216,7 +245,7 @@
         m_impl->logger.addAppender(appender);
     }
     m_impl->logger.setLogLevel(logLevel(threshold));
-    if (!file.empty()) {
+    if (!file.empty() && !m_impl->toOutput) {
         m_impl->file.open(file, std::ios::app);
     }
 }
@@ -228,6 +257,11 @@
     return m_impl->hybridClock;
 }
 
+bool EventLog::isWritten(Event event) const
+{
+    return eventInfo(event).severity >= m_impl->threshold;
+}
+
 void EventLog::write(Event event, std::initializer_list<EventField> fields)
 {
     const EventInfo &info = eventInfo(event);
@@ -245,12 +279,16 @@
         text += " suppressed=" + std::to_string(suppressed);
         line["suppressed"] = std::to_string(suppressed);
     }
+    line["time"] = toText(m_impl->hybridClock.tick());
+    line["process"] = m_impl->process;
+    line["event"] = static_cast<int>(event);
+    line["name"] = std::string(info.name);
+    if (m_impl->toOutput) {
+        m_impl->writeOutput(line);
+        return;
+    }
     m_impl->logger.log(logLevel(info.severity), text);
     if (m_impl->file.is_open()) {
-        line["time"] = toText(m_impl->hybridClock.tick());
-        line["process"] = m_impl->process;
-        line["event"] = static_cast<int>(event);
-        line["name"] = std::string(info.name);
         m_impl->file << Json::writeString(m_impl->writer, line) << '\n' << std::flush;
     }
 }
--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -19,6 +19,9 @@
     DrainStarted = 103,
     DrainFinished = 104,
     ListenFailed = 105,
+    SettingsReloaded = 106,
+    LeaderContactLost = 107,
+    LeaderContactRegained = 108,
     MalformedRequest = 110,
     PeerRejected = 111,
     PeerUnreachable = 112,
@@ -120,11 +123,12 @@
 
 using EventField = std::pair<std::string_view, std::string>;
 
-/// Writes events to the log of the process (log4cplus) and, if a folder is set, to its event file (JSON lines).
+/// Writes events to the log of the process (log4cplus) and, if a file is set, to it as JSON lines.
 class EventLog
 {
 public:
-    /// @param process name of the process; @param file event file, empty for none.
+    /// @param process name of the process; @param file event file, empty for none, "-" for JSON lines on standard output
+    /// in place of the log of the process. Lines that standard output does not take at once are dropped and counted.
     EventLog(Clock clock, std::string process, const std::string &file, Severity threshold = Severity::Info);
     ~EventLog();
     EventLog(const EventLog &) = delete;
@@ -133,6 +137,8 @@
     /// Writes an event. Events of single requests (from 700) are limited to 50 per second and number; the next one that
     /// is written carries the count of those left out in the field `suppressed`.
     void write(Event event, std::initializer_list<EventField> fields = {});
+    /// Returns false if the severity of @p event is below the threshold, so that its fields need not be made.
+    bool isWritten(Event event) const;
     HybridClock &hybridClock();
 
 private:
--- /dev/null
+++ b/packages/mesh/fleetconfig.cpp
@@ -0,0 +1,128 @@
+#include "fleetconfig.h"
+
+#include <algorithm>
+
+namespace Yuccagrade::Mesh
+{
+namespace
+{
+// A latency goal this far above the time limit is a mistake in units, not an intention.
+constexpr TimeMs maxGoalExcessMs = 60'000;
+
+std::string lowerCase(std::string_view text)
+{
+    std::string result(text);
+    std::transform(result.begin(), result.end(), result.begin(), [](unsigned char c) {
+        return static_cast<char>(std::tolower(c));
+    });
+    return result;
+}
+
+std::string_view withoutPort(std::string_view host)
+{
+    return host.substr(0, host.find(':'));
+}
+
+template<typename T>
+const T *findNamed(const std::vector<T> &items, std::string_view name)
+{
+    const auto found = std::find_if(items.begin(), items.end(), [name](const T &item) {
+        return item.name == name;
+    });
+    return found == items.end() ? nullptr : &*found;
+}
+}
+
+std::string_view repeatabilityName(Repeatability repeatability)
+{
+    return repeatability == Repeatability::Idempotent ? "idempotent" : "at-most-once";
+}
+
+void FleetConfig::checkRoute(const Route &route, Findings &findings)
+{
+    const auto report = [&](const std::string &message) {
+        findings.push_back({"route " + route.name, 0, message});
+    };
+    double sum = 0;
+    for (const WeightedService &part : route.services) {
+        sum += part.weight;
+        if (!service(part.service)) {
+            report("names the unknown service " + part.service);
+        }
+        if (part.weight < 0) {
+            report("has a negative weight");
+        }
+    }
+    if (sum <= 0) {
+        report("has no service with a weight above 0");
+    }
+    if (route.timeoutMs <= 0) {
+        report("needs a time limit above 0");
+    }
+    if (route.latencyGoalMs >= route.timeoutMs + maxGoalExcessMs) {
+        report("has a latency goal a minute or more above its time limit");
+    }
+    if (route.prefix.empty() || route.prefix.front() != '/' || route.prefix.back() != '/') {
+        report("needs a prefix that begins and ends with a slash");
+    }
+}
+
+void FleetConfig::index(Findings &findings)
+{
+    m_routesOfHost.clear();
+    m_teamOfKey.clear();
+    for (std::size_t i = 0; i < routes.size(); ++i) {
+        checkRoute(routes[i], findings);
+        auto &sameHost = m_routesOfHost[lowerCase(routes[i].host)];
+        for (const std::size_t other : sameHost) {
+            if (routes[other].prefix == routes[i].prefix) {
+                findings.push_back({"route " + routes[i].name, 0, "has the host and prefix of route " + routes[other].name});
+            }
+        }
+        sameHost.push_back(i);
+    }
+    for (auto &[host, indices] : m_routesOfHost) {
+        std::sort(indices.begin(), indices.end(), [this](std::size_t a, std::size_t b) {
+            return routes[a].prefix.size() > routes[b].prefix.size();
+        });
+    }
+    for (std::size_t i = 0; i < teams.size(); ++i) {
+        for (const std::string &key : teams[i].keys) {
+            const auto [entry, added] = m_teamOfKey.emplace(key, i);
+            if (!added && entry->second != i) {
+                findings.push_back({"team " + teams[i].name, 0, "shares a key with team " + teams[entry->second].name});
+            }
+        }
+    }
+}
+
+const Route *FleetConfig::route(std::string_view host, std::string_view path) const
+{
+    const auto found = m_routesOfHost.find(lowerCase(withoutPort(host)));
+    if (found == m_routesOfHost.end()) {
+        return nullptr;
+    }
+    for (const std::size_t i : found->second) {
+        if (path.starts_with(routes[i].prefix)) {
+            return &routes[i];
+        }
+    }
+    return nullptr;
+}
+
+const Team *FleetConfig::teamOfKey(std::string_view key) const
+{
+    const auto found = m_teamOfKey.find(std::string(key));
+    return found == m_teamOfKey.end() ? nullptr : &teams[found->second];
+}
+
+const Team *FleetConfig::team(std::string_view name) const
+{
+    return findNamed(teams, name);
+}
+
+const ServiceSpec *FleetConfig::service(std::string_view name) const
+{
+    return findNamed(services, name);
+}
+}
--- /dev/null
+++ b/packages/mesh/framelink.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "messages.h"
+#include "net/tcp.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace Yuccagrade::Mesh
+{
+/// A connection between two own processes that carries frames: 4 bytes length (network order), 1 byte kind, payload.
+class FrameLink : public std::enable_shared_from_this<FrameLink>
+{
+public:
+    static std::shared_ptr<FrameLink> open(std::shared_ptr<TcpStream> stream, const Clock &clock);
+
+    /// A complete frame. Pings are answered by the link itself.
+    std::function<void(FrameType, std::string_view)> onFrame;
+    /// The connection ended or a frame was malformed; the link sends nothing more.
+    std::function<void()> onClosed;
+
+    void send(FrameType type, std::string_view payload);
+    void close();
+    bool isOpen() const
+    {
+        return m_stream && m_stream->isOpen();
+    }
+    bool isConnected() const
+    {
+        return isOpen() && m_stream->isConnected();
+    }
+    /// Bytes that wait to be sent.
+    std::size_t unsent() const
+    {
+        return m_stream ? m_stream->unsent() : 0;
+    }
+    /// Closes the link if the peer, which is expected to answer, was silent for too long; sends a ping before.
+    void checkSilence(bool answerExpected);
+
+private:
+    FrameLink(std::shared_ptr<TcpStream> stream, const Clock &clock);
+    void start();
+    void read(std::string_view data);
+    void fail();
+
+    std::shared_ptr<TcpStream> m_stream;
+    const Clock &m_clock;
+    std::string m_in;
+    TimeMs m_heardAt;
+    TimeMs m_pingedAt = 0;
+};
+
+/// Outgoing links by address, opened when they are first used.
+class LinkPool
+{
+public:
+    using FrameHandler = std::function<void(const std::string &address, FrameType, std::string_view)>;
+    using ClosedHandler = std::function<void(const std::string &address)>;
+
+    LinkPool(EventLoop &loop, std::string sourceIp);
+
+    FrameHandler onFrame;
+    /// A link ended; what was sent on it without an answer may have arrived.
+    ClosedHandler onClosed;
+    /// True if an answer is expected from the process at an address.
+    std::function<bool(const std::string &address)> isBusy;
+
+    /// Returns the link to @p address, which may still be connecting; null if it cannot be opened or failed recently.
+    FrameLink *link(const std::string &address);
+    bool isFailing(const std::string &address) const;
+    void close(const std::string &address);
+
+private:
+    void check();
+    void drop(const std::string &address, const FrameLink *link);
+
+    EventLoop &m_loop;
+    std::string m_sourceIp;
+    std::map<std::string, std::shared_ptr<FrameLink>, std::less<>> m_links;
+    std::map<std::string, TimeMs, std::less<>> m_retryAt;
+};
+}
--- /dev/null
+++ b/packages/mesh/messages.cpp
@@ -0,0 +1,241 @@
+#include "messages.h"
+
+#include <array>
+#include <msgpack.hpp>
+#include <tuple>
+#include <type_traits>
+
+namespace Yuccagrade::Mesh
+{
+namespace
+{
+constexpr std::array<std::string_view, 4> outcomeNames{"answered", "not-offered", "declined", "may-have-run"};
+constexpr std::array<std::string_view, 3> upstreamStateNames{"ready", "draining", "unreachable"};
+
+// Each overload lists the fields of a message in the order of the wire. M is const for encoding.
+template<typename M>
+concept Load = std::is_same_v<std::remove_const_t<M>, LoadReport>;
+template<typename M, typename T>
+concept Is = std::is_same_v<std::remove_const_t<M>, T>;
+
+auto fields(Load auto &m)
+{
+    return std::tie(m.busy, m.limit, m.pressure);
+}
+auto fields(Is<CallMessage> auto &m)
+{
+    return std::tie(m.callId, m.upstreamId, m.service, m.requestId, m.head, m.body, m.timeLeftMs, m.latencyGoalMs, m.priority, m.nested, m.idempotent,
+                    m.headOnly, m.attemptsLeft);
+}
+auto fields(Is<ReplyMessage> auto &m)
+{
+    return std::tie(m.callId, m.outcome, m.status, m.head, m.body, m.reason, m.load);
+}
+auto fields(Is<CancelMessage> auto &m)
+{
+    return std::tie(m.callId);
+}
+auto fields(Is<UpstreamEntry> auto &m)
+{
+    return std::tie(m.id, m.service, m.domain, m.peerAddress, m.state, m.slots, m.coldLeftMs);
+}
+auto fields(Is<StatusMessage> auto &m)
+{
+    return std::tie(m.upstreams, m.load);
+}
+auto fields(Is<TeamDemand> auto &m)
+{
+    return std::tie(m.team, m.perS, m.share);
+}
+auto fields(Is<TeamShare> auto &m)
+{
+    return std::tie(m.team, m.share);
+}
+auto fields(Is<SyncMessage> auto &m)
+{
+    return std::tie(m.sequence, m.name, m.peerAddress, m.operatorAddress, m.diskId, m.configIndex, m.directoryVersion, m.directoryTerm, m.upstreams,
+                    m.demand);
+}
+auto fields(Is<SyncReplyMessage> auto &m)
+{
+    return std::tie(m.sequence, m.leads, m.leaderAddress, m.proofAgeMs, m.configIndex, m.hasDocument, m.document, m.hasDirectory, m.directoryVersion,
+                    m.directoryTerm, m.directory, m.controlHosts, m.shares);
+}
+auto fields(Is<ConsensusMessage> auto &m)
+{
+    return std::tie(m.sequence, m.sender, m.method, m.text);
+}
+
+using Packer = msgpack::packer<msgpack::sbuffer>;
+
+template<typename T>
+void put(Packer &packer, const T &value)
+{
+    if constexpr (std::is_enum_v<T>) {
+        packer.pack(static_cast<std::underlying_type_t<T>>(value));
+    } else if constexpr (requires { fields(value); }) {
+        const auto list = fields(value);
+        packer.pack_array(static_cast<std::uint32_t>(std::tuple_size_v<decltype(list)>));
+        std::apply(
+            [&packer](const auto &...field) {
+                (put(packer, field), ...);
+            },
+            list);
+    } else if constexpr (std::is_arithmetic_v<T> || std::is_same_v<T, std::string>) {
+        packer.pack(value);
+    } else {
+        packer.pack_array(static_cast<std::uint32_t>(value.size()));
+        for (const auto &item : value) {
+            put(packer, item);
+        }
+    }
+}
+
+bool isInRange(std::uint8_t value, CallOutcome /*unused*/)
+{
+    return value < outcomeNames.size();
+}
+
+bool isInRange(std::uint8_t value, UpstreamState /*unused*/)
+{
+    return value < upstreamStateNames.size();
+}
+
+template<typename T>
+bool take(const msgpack::object &object, T &value)
+{
+    if constexpr (std::is_enum_v<T>) {
+        std::underlying_type_t<T> number{};
+        object.convert(number);
+        value = static_cast<T>(number);
+        return isInRange(number, value);
+    } else if constexpr (requires { fields(value); }) {
+        auto list = fields(value);
+        if (object.type != msgpack::type::ARRAY || object.via.array.size != std::tuple_size_v<decltype(list)>) {
+            return false;
+        }
+        std::size_t next = 0;
+        return std::apply(
+            [&](auto &...field) {
+                return (take(object.via.array.ptr[next++], field) && ...);
+            },
+            list);
+    } else if constexpr (std::is_arithmetic_v<T> || std::is_same_v<T, std::string>) {
+        object.convert(value);
+        return true;
+    } else {
+        if (object.type != msgpack::type::ARRAY) {
+            return false;
+        }
+        value.resize(object.via.array.size);
+        for (std::size_t i = 0; i < value.size(); ++i) {
+            if (!take(object.via.array.ptr[i], value[i])) {
+                return false;
+            }
+        }
+        return true;
+    }
+}
+
+template<typename T>
+std::string pack(const T &message)
+{
+    msgpack::sbuffer buffer;
+    Packer packer(buffer);
+    put(packer, message);
+    return {buffer.data(), buffer.size()};
+}
+
+template<typename T>
+bool unpack(std::string_view text, T &message)
+{
+    try {
+        const msgpack::object_handle handle = msgpack::unpack(text.data(), text.size());
+        return take(handle.get(), message);
+    } catch (const std::exception &) {
+        // The library reports every malformed input by an exception; the caller logs the refusal.
+        return false;
+    }
+}
+}
+
+std::string_view outcomeName(CallOutcome outcome)
+{
+    return outcomeNames[static_cast<std::size_t>(outcome)];
+}
+
+std::string_view upstreamStateName(UpstreamState state)
+{
+    return upstreamStateNames[static_cast<std::size_t>(state)];
+}
+
+std::string encode(const CallMessage &message)
+{
+    return pack(message);
+}
+
+std::string encode(const ReplyMessage &message)
+{
+    return pack(message);
+}
+
+std::string encode(const CancelMessage &message)
+{
+    return pack(message);
+}
+
+std::string encode(const StatusMessage &message)
+{
+    return pack(message);
+}
+
+std::string encode(const SyncMessage &message)
+{
+    return pack(message);
+}
+
+std::string encode(const SyncReplyMessage &message)
+{
+    return pack(message);
+}
+
+std::string encode(const ConsensusMessage &message)
+{
+    return pack(message);
+}
+
+bool decode(std::string_view text, CallMessage &message)
+{
+    return unpack(text, message);
+}
+
+bool decode(std::string_view text, ReplyMessage &message)
+{
+    return unpack(text, message);
+}
+
+bool decode(std::string_view text, CancelMessage &message)
+{
+    return unpack(text, message);
+}
+
+bool decode(std::string_view text, StatusMessage &message)
+{
+    return unpack(text, message);
+}
+
+bool decode(std::string_view text, SyncMessage &message)
+{
+    return unpack(text, message);
+}
+
+bool decode(std::string_view text, SyncReplyMessage &message)
+{
+    return unpack(text, message);
+}
+
+bool decode(std::string_view text, ConsensusMessage &message)
+{
+    return unpack(text, message);
+}
+}
--- /dev/null
+++ b/packages/mesh/messages.h
@@ -0,0 +1,162 @@
+#pragma once
+
+#include "base/clock.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Yuccagrade::Mesh
+{
+/// Kinds of frames between own processes.
+enum class FrameType : std::uint8_t {
+    Call = 1,
+    Reply,
+    Cancel,
+    Sync,
+    SyncReply,
+    ConsensusRequest,
+    ConsensusResponse,
+    Ping,
+    Pong,
+    Status,
+};
+
+/// How busy an upstream and what it calls are, as the node beside it knows.
+struct LoadReport {
+    int busy = 0; ///< running and queued calls
+    int limit = 0; ///< calls that may run at once; 0 if unknown
+    double pressure = 0; ///< smoothed wait for a slot in ms, the worst of this service and those that it calls
+};
+
+/// A call from the node beside the caller to the node beside the upstream.
+struct CallMessage {
+    std::uint64_t callId = 0;
+    std::string upstreamId; ///< incarnation that the sender chose
+    std::string service;
+    std::string requestId;
+    std::string head; ///< request line and header without the fields that depend on the upstream
+    std::string body;
+    double timeLeftMs = 0;
+    double latencyGoalMs = 0;
+    int priority = 0;
+    bool nested = false; ///< made by an upstream while it serves another call
+    bool idempotent = false;
+    bool headOnly = false; ///< the response has no body (HEAD)
+    bool attemptsLeft = false; ///< the sender can offer the call to another upstream
+};
+
+/// What became of a call at the node beside the upstream.
+enum class CallOutcome : std::uint8_t {
+    Answered, ///< the upstream's complete response
+    NotOffered, ///< refused by the node; no byte reached the upstream
+    Declined, ///< the upstream said that it did not run the call
+    MayHaveRun, ///< sent, and no complete response came
+};
+std::string_view outcomeName(CallOutcome outcome);
+
+struct ReplyMessage {
+    std::uint64_t callId = 0;
+    CallOutcome outcome = CallOutcome::MayHaveRun;
+    int status = 0; ///< of Answered
+    std::string head; ///< status line and header without fields of the connection; of Answered
+    std::string body;
+    std::string reason; ///< why the call was not answered
+    LoadReport load;
+};
+
+/// Ends a call whose caller has left.
+struct CancelMessage {
+    std::uint64_t callId = 0;
+};
+
+/// State of an upstream as announced and seen by the node beside it.
+enum class UpstreamState : std::uint8_t { Ready, Draining, Unreachable };
+std::string_view upstreamStateName(UpstreamState state);
+
+/// One upstream incarnation.
+struct UpstreamEntry {
+    std::string id;
+    std::string service;
+    std::string domain;
+    std::string peerAddress; ///< of the node beside it
+    UpstreamState state = UpstreamState::Ready;
+    int slots = 0;
+    double coldLeftMs = 0; ///< time for which it is still slow after its start
+    bool operator==(const UpstreamEntry &) const = default;
+};
+
+/// Sent by a node to its open connections when the state of its upstream changes.
+struct StatusMessage {
+    std::vector<UpstreamEntry> upstreams;
+    LoadReport load;
+};
+
+/// Requests of a team at one node.
+struct TeamDemand {
+    std::string team;
+    double perS = 0; ///< smoothed requests per second
+    double share = 0; ///< part of the team's rate that the node uses
+};
+
+/// Part of a team's rate that a node may use.
+struct TeamShare {
+    std::string team;
+    double share = 0;
+};
+
+/// Report of a process to the leading control host.
+struct SyncMessage {
+    std::uint64_t sequence = 0;
+    std::string name;
+    std::string peerAddress;
+    std::string operatorAddress; ///< of a control host
+    std::string diskId; ///< of a control host
+    std::uint64_t configIndex = 0; ///< log index of the configuration in force
+    std::uint64_t directoryVersion = 0;
+    std::uint64_t directoryTerm = 0; ///< term of the leader that issued the directory
+    std::vector<UpstreamEntry> upstreams;
+    std::vector<TeamDemand> demand;
+};
+
+struct SyncReplyMessage {
+    std::uint64_t sequence = 0; ///< 0 for an update that was not asked for
+    bool leads = false;
+    std::string leaderAddress; ///< peer address, empty if unknown
+    double proofAgeMs = -1; ///< age of the leader's last contact with a majority; negative if not leading
+    std::uint64_t configIndex = 0;
+    bool hasDocument = false;
+    std::string document;
+    bool hasDirectory = false;
+    std::uint64_t directoryVersion = 0;
+    std::uint64_t directoryTerm = 0;
+    std::vector<UpstreamEntry> directory;
+    std::vector<std::string> controlHosts; ///< peer addresses
+    std::vector<TeamShare> shares;
+};
+
+/// One consensus request or response; the text is JSON.
+struct ConsensusMessage {
+    std::uint64_t sequence = 0;
+    std::string sender;
+    std::string method;
+    std::string text;
+};
+
+/// Encodes a message. Decoders return false on malformed input and never throw.
+std::string encode(const CallMessage &message);
+std::string encode(const ReplyMessage &message);
+std::string encode(const CancelMessage &message);
+std::string encode(const StatusMessage &message);
+std::string encode(const SyncMessage &message);
+std::string encode(const SyncReplyMessage &message);
+std::string encode(const ConsensusMessage &message);
+bool decode(std::string_view text, CallMessage &message);
+bool decode(std::string_view text, ReplyMessage &message);
+bool decode(std::string_view text, CancelMessage &message);
+bool decode(std::string_view text, StatusMessage &message);
+bool decode(std::string_view text, SyncMessage &message);
+bool decode(std::string_view text, SyncReplyMessage &message);
+bool decode(std::string_view text, ConsensusMessage &message);
+}
--- /dev/null
+++ b/packages/meshcontrol/controlgroup.cpp
@@ -0,0 +1,241 @@
+#include "controlgroup.h"
+
+#include "base/drift.h"
+#include "base/errc.h"
+
+#include <algorithm>
+
+namespace Yuccagrade::Mesh
+{
+namespace
+{
+constexpr TimeMs tickPeriodMs = 20;
+// A request without a response is forgotten; the protocol repeats it.
+constexpr TimeMs requestForgottenMs = 2'000;
+constexpr TimeMs managePeriodMs = 200;
+// A host counts as present if it was heard within this time.
+constexpr TimeMs liveMs = 1'500;
+// A voter that was silent for this time may be replaced; a restart takes less.
+constexpr TimeMs replaceAfterMs = 8'000;
+// Before the first change of the group a new leader hears all hosts.
+constexpr TimeMs observeMs = 1'000;
+constexpr std::size_t snapshotEntries = 200;
+}
+
+ControlGroup::ControlGroup(EventLoop &loop, LinkPool &links, EventLog &log, const MeshSettings &settings)
+    : m_loop(loop)
+    , m_links(links)
+    , m_log(log)
+    , m_settings(settings)
+{
+}
+
+bool ControlGroup::open()
+{
+    ReplicaSettings settings;
+    settings.folder = m_settings.dataFolder;
+    settings.id = m_settings.peerAddress;
+    settings.snapshotEntries = snapshotEntries;
+    const auto &seeds = m_settings.seeds;
+    // Only the seeds found the group; other hosts are admitted by its leader.
+    if (m_settings.foundGroup && std::find(seeds.begin(), seeds.end(), m_settings.peerAddress) != seeds.end()) {
+        for (const std::string &seed : seeds) {
+            settings.initialMembers.push_back({seed, seed, {}, true});
+        }
+    }
+    ReplicaHooks hooks;
+    hooks.send = [this](const std::string &peer, const std::string &address, const std::string &method, const Json::Value &params) {
+        send(peer, address, method, params);
+    };
+    hooks.apply = [this](std::uint64_t index, const Json::Value &command) {
+        onApply(index, command);
+    };
+    hooks.restore = [this](std::uint64_t index, const std::string &state) {
+        onRestore(index, state);
+    };
+    hooks.state = [this] {
+        return saveState();
+    };
+    hooks.leadershipChanged = [this](const Leadership &leadership) {
+        m_leadsSince = leadership.self ? m_loop.clock().now() : 0;
+        m_log.write(leadership.self ? Event::LeaderElected : Event::LeaderLost,
+                    {{"term", std::to_string(leadership.term)}, {"leader", leadership.leader}});
+        onLeadership(leadership.self);
+    };
+    hooks.groupChanged = [this](const std::vector<GroupMember> &members) {
+        std::string text;
+        for (const GroupMember &member : members) {
+            text += (text.empty() ? "" : " ") + member.id + (member.voter ? "" : "(learner)");
+        }
+        m_log.write(Event::GroupChanged, {{"members", text}});
+    };
+    hooks.failed = [this](std::error_code error) {
+        m_log.write(Event::StorageFailed, {{"error", error.message()}});
+        m_loop.stop();
+    };
+    const auto seed = static_cast<std::uint64_t>(m_loop.clock().wall()) ^ std::hash<std::string>()(m_settings.name);
+    m_replica = std::make_unique<Replica>(settings, hooks, m_loop.clock(), seed);
+    StorageReport report;
+    if (const auto error = m_replica->start(report)) {
+        m_log.write(error == Errc::StorageDamaged ? Event::StorageDamaged : Event::StorageFailed, {{"error", error.message()}});
+        return false;
+    }
+    if (report.created) {
+        m_log.write(Event::DiskReplaced, {{"disk", m_replica->diskId()}, {"founds", settings.initialMembers.empty() ? "no" : "yes"}});
+    }
+    if (report.truncatedBytes > 0) {
+        m_log.write(Event::LogTailTruncated, {{"bytes", std::to_string(report.truncatedBytes)}});
+    }
+    m_loop.every(tickPeriodMs, [this] {
+        tick();
+    });
+    return true;
+}
+
+void ControlGroup::send(const std::string &peer, const std::string &address, const std::string &method, const Json::Value &params)
+{
+    FrameLink *link = m_links.link(address);
+    if (!link) {
+        return;
+    }
+    const std::uint64_t sequence = ++m_sequence;
+    m_pending[sequence] = {peer, method, m_loop.clock().now()};
+    link->send(FrameType::ConsensusRequest, encode(ConsensusMessage{sequence, m_settings.peerAddress, method, toText(params)}));
+}
+
+bool ControlGroup::serve(const ConsensusMessage &request, ConsensusMessage &response)
+{
+    Json::Value params;
+    Json::Value result;
+    if (!parseJson(request.text, params)) {
+        m_log.write(Event::PeerRejected, {{"source", request.sender}, {"cause", "malformed consensus request"}});
+        return false;
+    }
+    m_heard[request.sender] = m_loop.clock().now();
+    if (const auto error = m_replica->handle(request.method, params, result)) {
+        m_log.write(Event::PeerRejected, {{"source", request.sender}, {"method", request.method}, {"cause", error.message()}});
+        return false;
+    }
+    response = {request.sequence, m_settings.peerAddress, request.method, toText(result)};
+    return true;
+}
+
+void ControlGroup::received(const ConsensusMessage &response)
+{
+    const auto found = m_pending.find(response.sequence);
+    Json::Value result;
+    if (found == m_pending.end()) {
+        return; // answered after it was given up and repeated
+    }
+    const Pending pending = found->second;
+    m_pending.erase(found);
+    m_heard[pending.peer] = m_loop.clock().now();
+    if (!parseJson(response.text, result) || m_replica->handleResponse(pending.peer, pending.method, result)) {
+        m_log.write(Event::PeerRejected, {{"source", response.sender}, {"method", pending.method}, {"cause", "response refused"}});
+    }
+}
+
+void ControlGroup::linkClosed(const std::string &address)
+{
+    std::erase_if(m_pending, [&address](const auto &entry) {
+        return entry.second.peer == address;
+    });
+}
+
+bool ControlGroup::expectsReply(const std::string &address) const
+{
+    return std::any_of(m_pending.begin(), m_pending.end(), [&address](const auto &entry) {
+        return entry.second.peer == address;
+    });
+}
+
+void ControlGroup::noteHost(const std::string &address, const std::string &diskId)
+{
+    m_hosts[address] = {diskId, m_loop.clock().now()};
+}
+
+std::vector<std::string> ControlGroup::hosts() const
+{
+    const TimeMs now = m_loop.clock().now();
+    std::vector<std::string> result{m_settings.peerAddress};
+    for (const GroupMember &member : m_replica->core()->log().members()) {
+        if (member.id != m_settings.peerAddress) {
+            result.push_back(member.id);
+        }
+    }
+    for (const auto &[address, host] : m_hosts) {
+        if (now - host.heardAt < replaceAfterMs && std::find(result.begin(), result.end(), address) == result.end()) {
+            result.push_back(address);
+        }
+    }
+    return result;
+}
+
+bool ControlGroup::isCurrent() const
+{
+    const double age = contactAgeMs();
+    return age >= 0 && age < static_cast<double>(shortenedByDrift(RaftOptions().electionMinMs));
+}
+
+double ControlGroup::contactAgeMs() const
+{
+    const TimeMs contact = m_replica->quorumContactMs();
+    return contact < 0 ? -1 : static_cast<double>(m_loop.clock().now() - contact);
+}
+
+void ControlGroup::tick()
+{
+    const TimeMs now = m_loop.clock().now();
+    m_replica->tick();
+    std::erase_if(m_pending, [now](const auto &entry) {
+        return now - entry.second.sentAt > requestForgottenMs;
+    });
+    if (m_replica->isReady() && now - m_leadsSince > observeMs && now - m_managedAt > managePeriodMs) {
+        m_managedAt = now;
+        manage();
+    }
+}
+
+bool ControlGroup::isLive(const std::string &address, TimeMs now) const
+{
+    const auto heard = m_heard.find(address);
+    return address == m_settings.peerAddress || (heard != m_heard.end() && now - heard->second < liveMs);
+}
+
+// One change at a time; the next one follows when it is committed.
+void ControlGroup::manage()
+{
+    const TimeMs now = m_loop.clock().now();
+    const auto &members = m_replica->core()->log().members();
+    const auto target = static_cast<std::size_t>(2 * m_settings.terms.toleratedHosts + 1);
+    const auto ignore = [](std::error_code, std::uint64_t) { };
+    std::size_t live = 0;
+    for (const GroupMember &member : members) {
+        const auto host = m_hosts.find(member.id);
+        const bool present = host != m_hosts.end() && now - host->second.heardAt < liveMs;
+        if (present && member.voter && member.id != m_settings.peerAddress && host->second.diskId != member.diskId) {
+            if (!m_replica->addMember(member.id, member.address, ignore)) {
+                m_log.write(Event::DiskReplaced, {{"host", member.id}, {"disk", host->second.diskId}});
+                return;
+            }
+        }
+        live += member.voter && isLive(member.id, now) ? 1 : 0;
+    }
+    if (live < target) {
+        for (const auto &[address, host] : m_hosts) {
+            if (now - host.heardAt < liveMs && !findMember(members, address) && !m_replica->addMember(address, address, ignore)) {
+                return;
+            }
+        }
+        return;
+    }
+    for (const GroupMember &member : members) {
+        const auto heard = m_heard.find(member.id);
+        const TimeMs silentSince = std::max(m_leadsSince, heard == m_heard.end() ? 0 : heard->second);
+        if (member.id != m_settings.peerAddress && members.size() > target && now - silentSince > replaceAfterMs) {
+            m_replica->removeMember(member.id, ignore);
+            return;
+        }
+    }
+}
+}
--- /dev/null
+++ b/packages/meshcontrol/meshcontrol.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "mesh/dialect.h"
+#include "mesh/meshsettings.h"
+
+#include <functional>
+
+namespace Yuccagrade::Mesh
+{
+/// Runs a control host until SIGTERM. Returns the exit code.
+int runMeshControl(const MeshSettings &settings, const Dialect &dialect, const std::function<MeshSettings()> &readAgain);
+}
--- /dev/null
+++ b/packages/meshnode/callbroker.cpp
@@ -0,0 +1,397 @@
+#include "callbroker.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Yuccagrade::Mesh
+{
+namespace
+{
+// Owner of calls of this host's callers at the local upstream port; links have their own numbers from 1.
+constexpr std::uint64_t localOwner = 0;
+// Taken off a caller's time, so that the last answer reaches it in time.
+constexpr double answerMarginMs = 15;
+constexpr double defaultTimeMs = 10'000; // of a request that states none
+// Nodes that may refuse a call before the caller is refused.
+constexpr int maxRefusals = 3;
+// An attempt with less time than this could not end well.
+constexpr double minAttemptMs = 20;
+// Range of the time after which a refused caller should come back.
+constexpr double minRetryAfterMs = 200;
+constexpr double retryAfterSpreadMs = 400;
+constexpr double isolatedRetryAfterMs = 1'000;
+constexpr int firstServerError = 500;
+}
+
+CallBroker::CallBroker(EventLoop &loop,
+                       const Dialect &dialect,
+                       EventLog &log,
+                       Metrics &metrics,
+                       Identity identity,
+                       const FleetTerms &terms,
+                       UpstreamPort &local,
+                       LinkPool &links,
+                       Random random)
+    : m_loop(loop)
+    , m_dialect(dialect)
+    , m_log(log)
+    , m_metrics(metrics)
+    , m_identity(std::move(identity))
+    , m_local(local)
+    , m_links(links)
+    , m_random(random)
+    , m_directory(m_identity.domain, random)
+    , m_admission(random)
+    , m_retryTokens(terms.retryRatio, terms.retryPerWindow, static_cast<double>(terms.retryWindowMs))
+{
+}
+
+void CallBroker::setConfig(std::shared_ptr<const FleetConfig> config)
+{
+    m_config = std::move(config);
+}
+
+void CallBroker::handle(const std::shared_ptr<PortExchange> &exchange)
+{
+    const HttpMessage &message = exchange->request();
+    const CallerRequest request = m_dialect.readRequest(message);
+    const auto call = std::make_shared<Call>();
+    call->id = ++m_lastCall;
+    call->exchange = exchange;
+    call->config = m_config;
+    call->requestId = request.requestId;
+    call->arrivedMs = now();
+    if (!m_config) {
+        refuse(*call, 503, isolatedRetryAfterMs, Event::RequestRefusedIsolated, "no configuration yet");
+        return;
+    }
+    const std::string path = message.target.substr(0, message.target.find('?'));
+    if (message.target.empty() || message.target.front() != '/') {
+        refuse(*call, 400, -1, Event::MalformedRequest, "target is not a path");
+        return;
+    }
+    call->route = m_config->route(request.host, path);
+    if (!call->route) {
+        refuse(*call, 404, -1, Event::RouteUnknown, "no route for host and path");
+        return;
+    }
+    if (authorize(*call, request) && admit(*call)) {
+        begin(call, request);
+    }
+}
+
+// Keys are looked up for each request: a kept connection outlives a withdrawal.
+bool CallBroker::authorize(Call &call, const CallerRequest &request)
+{
+    call.priority = call.route->priority;
+    call.nested = call.route->open;
+    if (call.route->open || call.config->teams.empty()) {
+        return true;
+    }
+    if (!hasProof()) {
+        refuse(call, 503, isolatedRetryAfterMs, Event::RequestRefusedIsolated, "no fresh configuration for keys");
+        return false;
+    }
+    const Team *team = request.key ? call.config->teamOfKey(*request.key) : nullptr;
+    if (!team) {
+        refuse(call, 401, -1, Event::KeyUnknown, request.key ? "unknown key" : "no key");
+        return false;
+    }
+    call.team = team->name;
+    call.priority = team->priority.value_or(call.priority);
+    if (!m_meter.tryTake(*team, call.arrivedMs)) {
+        refuse(call, 429, std::max(minRetryAfterMs, m_meter.waitMs(*team, call.arrivedMs)), Event::TeamOverRate, "team over its rate");
+        return false;
+    }
+    return true;
+}
+
+bool CallBroker::admit(Call &call)
+{
+    call.service = pickService(*call.route);
+    if (call.nested) {
+        return true;
+    }
+    m_admission.observe(call.service, m_directory.pressure(call.service, call.arrivedMs), call.arrivedMs);
+    if (m_admission.admits(call.service, call.route->priority)) {
+        return true;
+    }
+    refuse(call, 503, retryAfterMs(call), Event::RequestShed, "service under pressure");
+    return false;
+}
+
+// Smooth weighted choice: the shares hold over short times too.
+std::string CallBroker::pickService(const Route &route)
+{
+    if (route.services.size() == 1) {
+        return route.services.front().service;
+    }
+    auto &credit = m_weightCredit[route.name];
+    credit.resize(route.services.size(), 0);
+    double sum = 0;
+    std::size_t best = 0;
+    for (std::size_t i = 0; i < credit.size(); ++i) {
+        credit[i] += route.services[i].weight;
+        sum += route.services[i].weight;
+        if (credit[i] > credit[best] || route.services[best].weight <= 0) {
+            best = i;
+        }
+    }
+    credit[best] -= sum;
+    return route.services[best].service;
+}
+
+void CallBroker::begin(const CallPtr &call, const CallerRequest &request)
+{
+    const double callerMs = request.timeLeftMs.value_or(defaultTimeMs) - answerMarginMs;
+    const auto routeMs = static_cast<double>(call->route->timeoutMs);
+    call->endsAtRouteLimit = routeMs < callerMs;
+    call->deadlineMs = call->arrivedMs + std::min(callerMs, routeMs);
+    call->head = m_dialect.renderCall(call->exchange->request(), {call->team, m_identity.service});
+    m_calls[call->id] = call;
+    call->exchange->onGone = [this, weak = std::weak_ptr<Call>(call)] {
+        if (const auto gone = weak.lock()) {
+            callerLeft(gone);
+        }
+    };
+    call->timer = m_loop.after(static_cast<TimeMs>(call->deadlineMs - call->arrivedMs), [this, call] {
+        deadline(call);
+    });
+    m_retryTokens.noteRequest(call->service, call->arrivedMs);
+    if (!dispatch(call)) {
+        call->lastReason = "no upstream can take the call";
+        settle(call);
+    }
+}
+
+// Sends the call to the best upstream that was not tried. Returns false if there is none.
+bool CallBroker::dispatch(const CallPtr &call)
+{
+    const UpstreamEntry *upstream = m_directory.choose(
+        call->service, call->tried,
+        [this](const std::string &address) {
+            return address == m_identity.peerAddress || !m_links.isFailing(address);
+        },
+        now());
+    if (!upstream) {
+        return false;
+    }
+    const bool local = upstream->peerAddress == m_identity.peerAddress;
+    FrameLink *link = local ? nullptr : m_links.link(upstream->peerAddress);
+    if (!local && !link) {
+        call->tried.insert(upstream->id);
+        return dispatch(call);
+    }
+    CallMessage message;
+    message.callId = call->id;
+    message.upstreamId = upstream->id;
+    message.service = call->service;
+    message.requestId = call->requestId;
+    message.head = call->head;
+    message.body = call->exchange->request().body;
+    message.timeLeftMs = call->deadlineMs - now();
+    message.latencyGoalMs = static_cast<double>(call->route->latencyGoalMs);
+    message.priority = call->priority;
+    message.nested = call->nested;
+    message.idempotent = call->route->repeatability == Repeatability::Idempotent;
+    message.headOnly = call->exchange->request().method == "HEAD";
+    call->tried.insert(upstream->id);
+    call->upstreamId = upstream->id;
+    call->peerAddress = local ? std::string() : upstream->peerAddress;
+    call->waiting = true;
+    m_directory.noteSent(call->upstreamId);
+    if (local) {
+        m_local.offer(std::move(message), localOwner, [this, weak = std::weak_ptr<Call>(call)](ReplyMessage reply) {
+            if (const auto current = weak.lock()) {
+                conclude(current, std::move(reply));
+            }
+        });
+    } else {
+        ++m_callsOfPeer[call->peerAddress];
+        link->send(FrameType::Call, encode(message));
+    }
+    return true;
+}
+
+void CallBroker::replied(const std::string &peerAddress, const ReplyMessage &reply)
+{
+    const auto found = m_calls.find(reply.callId);
+    if (found != m_calls.end() && found->second->waiting && found->second->peerAddress == peerAddress) {
+        const CallPtr call = found->second;
+        conclude(call, reply);
+    }
+}
+
+void CallBroker::linkClosed(const std::string &peerAddress)
+{
+    std::vector<CallPtr> lost;
+    for (const auto &[id, call] : m_calls) {
+        if (call->waiting && call->peerAddress == peerAddress) {
+            lost.push_back(call);
+        }
+    }
+    for (const CallPtr &call : lost) {
+        ReplyMessage reply;
+        reply.callId = call->id;
+        reply.outcome = CallOutcome::MayHaveRun;
+        reply.reason = "link to the node of the upstream ended";
+        conclude(call, std::move(reply));
+    }
+}
+
+bool CallBroker::expectsReply(const std::string &peerAddress) const
+{
+    const auto found = m_callsOfPeer.find(peerAddress);
+    return found != m_callsOfPeer.end() && found->second > 0;
+}
+
+bool CallBroker::mayRepeat(const Call &call, CallOutcome outcome) const
+{
+    const bool proven = outcome == CallOutcome::NotOffered || outcome == CallOutcome::Declined;
+    return (proven || call.route->repeatability == Repeatability::Idempotent) && call.arrivals < call.route->maxAttempts && call.refusals <= maxRefusals
+        && call.deadlineMs - now() > minAttemptMs;
+}
+
+void CallBroker::release(const CallPtr &call)
+{
+    if (!call->waiting) {
+        return;
+    }
+    call->waiting = false;
+    m_directory.noteDone(call->upstreamId);
+    if (!call->peerAddress.empty() && --m_callsOfPeer[call->peerAddress] <= 0) {
+        m_callsOfPeer.erase(call->peerAddress);
+    }
+}
+
+// An attempt ended: answers the caller or tries another upstream.
+void CallBroker::conclude(const CallPtr &call, ReplyMessage reply)
+{
+    release(call);
+    if (!m_calls.contains(call->id)) {
+        return;
+    }
+    const double at = now();
+    const bool heard = reply.load.limit > 0 || reply.outcome == CallOutcome::Answered;
+    if (heard) {
+        m_directory.noteLoad(call->upstreamId, reply.load, at);
+    }
+    if (!heard || reply.outcome == CallOutcome::MayHaveRun) {
+        m_directory.noteFailure(call->upstreamId, at);
+    }
+    if (reply.outcome == CallOutcome::NotOffered) {
+        ++call->refusals;
+    } else {
+        ++call->arrivals;
+    }
+    if (reply.outcome == CallOutcome::Answered && reply.status < firstServerError) {
+        answer(call, std::move(reply));
+        return;
+    }
+    const CallOutcome outcome = reply.outcome;
+    call->mayHaveRun = call->mayHaveRun || outcome == CallOutcome::MayHaveRun || outcome == CallOutcome::Answered;
+    call->lastReason = reply.reason.empty() ? "upstream failed" : reply.reason;
+    if (outcome == CallOutcome::Answered) {
+        call->lastAnswer = std::move(reply);
+    }
+    if (mayRepeat(*call, outcome) && (outcome == CallOutcome::NotOffered || m_retryTokens.tryTake(call->service, at)) && dispatch(call)) {
+        m_metrics.count("calls_sent_again_total", "outcome=\"" + std::string(outcomeName(outcome)) + '"');
+        return;
+    }
+    settle(call);
+}
+
+// No further attempt is made.
+void CallBroker::settle(const CallPtr &call)
+{
+    if (call->lastAnswer) {
+        answer(call, std::move(*call->lastAnswer));
+    } else if (call->mayHaveRun) {
+        refuse(*call, 502, -1, Event::UpstreamAnswerBroken, call->lastReason);
+    } else {
+        refuse(*call, 503, retryAfterMs(*call), Event::UpstreamUnavailable, call->lastReason);
+    }
+}
+
+void CallBroker::deadline(const CallPtr &call)
+{
+    call->timer = 0;
+    if (call->waiting) {
+        cancelAttempt(*call);
+        release(call);
+        refuse(*call, 504, -1, Event::DeadlineExceeded, call->endsAtRouteLimit ? "time limit of the route" : "time of the caller");
+        return;
+    }
+    settle(call);
+}
+
+void CallBroker::callerLeft(const CallPtr &call)
+{
+    cancelAttempt(*call);
+    release(call);
+    m_loop.cancel(call->timer);
+    m_calls.erase(call->id);
+    m_metrics.count("calls_cancelled_total");
+    logEnd(*call, Event::CallCancelled, 0, "caller left");
+}
+
+void CallBroker::cancelAttempt(const Call &call)
+{
+    if (!call.waiting) {
+        return;
+    }
+    if (call.peerAddress.empty()) {
+        m_local.cancel(localOwner, call.id);
+    } else if (FrameLink *link = m_links.link(call.peerAddress)) {
+        link->send(FrameType::Cancel, encode(CancelMessage{call.id}));
+    }
+}
+
+void CallBroker::answer(const CallPtr &call, ReplyMessage reply)
+{
+    m_loop.cancel(call->timer);
+    m_calls.erase(call->id);
+    const double took = now() - call->arrivedMs;
+    m_metrics.count("calls_answered_total", "route=\"" + call->route->name + "\",class=\"" + std::to_string(reply.status / 100) + "xx\"");
+    m_metrics.sample("call_ms", took, "service=\"" + call->service + '"');
+    logEnd(*call, Event::CallServed, reply.status, "upstream answered");
+    call->exchange->respond(std::move(reply.head), std::move(reply.body));
+}
+
+double CallBroker::retryAfterMs(const Call & /*call*/)
+{
+    return minRetryAfterMs + m_random.fraction() * retryAfterSpreadMs;
+}
+
+void CallBroker::refuse(Call &call, int status, double retryAfterMs, Event event, const std::string &reason)
+{
+    m_loop.cancel(call.timer);
+    m_calls.erase(call.id);
+    m_metrics.count("calls_refused_total", "status=\"" + std::to_string(status) + "\",reason=\"" + reason + '"');
+    logEnd(call, event, status, reason);
+    call.exchange->respond(m_dialect.renderRefusal(call.requestId, status, retryAfterMs), {});
+}
+
+void CallBroker::logEnd(const Call &call, Event event, int status, const std::string &reason)
+{
+    if (!m_log.isWritten(event)) {
+        return;
+    }
+    const double at = now();
+    m_log.write(event,
+                {{"request", call.requestId},
+                 {"route", call.route ? call.route->name : std::string()},
+                 {"team", call.team},
+                 {"service", call.service},
+                 {"upstream", call.upstreamId},
+                 {"node", call.peerAddress},
+                 {"arrivals", std::to_string(call.arrivals)},
+                 {"refusals", std::to_string(call.refusals)},
+                 {"took_ms", std::to_string(static_cast<int>(at - call.arrivedMs))},
+                 {"config", call.config ? std::to_string(call.config->version) : std::string()},
+                 {"pressure_ms", std::to_string(static_cast<int>(m_directory.pressure(call.service, at)))},
+                 {"level", std::to_string(m_admission.level(call.service))},
+                 {"status", std::to_string(status)},
+                 {"reason", reason}});
+}
+}
--- /dev/null
+++ b/packages/meshnode/callbroker.h
@@ -0,0 +1,141 @@
+#pragma once
+
+#include "admissionlevel.h"
+#include "base/eventlog.h"
+#include "base/metrics.h"
+#include "directory.h"
+#include "mesh/dialect.h"
+#include "mesh/framelink.h"
+#include "mesh/meshsettings.h"
+#include "net/httpport.h"
+#include "retrytokens.h"
+#include "teammeter.h"
+#include "upstreamport.h"
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+namespace Yuccagrade::Mesh
+{
+/// The node beside the caller: decides whether a request enters, chooses its upstream, sends it again where that is
+/// safe, and answers the caller. It alone counts attempts.
+class CallBroker
+{
+public:
+    struct Identity {
+        std::string service; ///< of the upstream on this host, where calls begin
+        std::string domain;
+        std::string peerAddress;
+    };
+
+    CallBroker(EventLoop &loop, const Dialect &dialect, EventLog &log, Metrics &metrics, Identity identity, const FleetTerms &terms, UpstreamPort &local,
+               LinkPool &links, Random random);
+
+    /// Takes a caller's request.
+    void handle(const std::shared_ptr<PortExchange> &exchange);
+    /// A reply of another node.
+    void replied(const std::string &peerAddress, const ReplyMessage &reply);
+    /// The link to another node ended.
+    void linkClosed(const std::string &peerAddress);
+    bool expectsReply(const std::string &peerAddress) const;
+
+    void setConfig(std::shared_ptr<const FleetConfig> config);
+    /// Keys may be trusted until @p untilMs.
+    void setProof(TimeMs untilMs)
+    {
+        m_proofUntil = untilMs;
+    }
+    bool hasProof() const
+    {
+        return m_loop.clock().now() < m_proofUntil;
+    }
+    Directory &directory()
+    {
+        return m_directory;
+    }
+    TeamMeter &meter()
+    {
+        return m_meter;
+    }
+    RetryTokens &retryTokens()
+    {
+        return m_retryTokens;
+    }
+    std::size_t pending() const
+    {
+        return m_calls.size();
+    }
+
+private:
+    /// A request of a caller.
+    struct Call {
+        std::uint64_t id = 0;
+        std::shared_ptr<PortExchange> exchange;
+        std::shared_ptr<const FleetConfig> config; ///< keeps the route alive
+        const Route *route = nullptr;
+        std::string requestId;
+        std::string team;
+        std::string service;
+        std::string head;
+        int priority = 0;
+        bool nested = false;
+        double arrivedMs = 0;
+        double deadlineMs = 0;
+        bool endsAtRouteLimit = false; ///< the route's limit comes before the caller's
+        int arrivals = 0; ///< upstreams that got the call
+        int refusals = 0; ///< nodes that refused it
+        bool mayHaveRun = false;
+        std::set<std::string> tried;
+        std::string upstreamId; ///< of the present attempt
+        std::string peerAddress; ///< of the present attempt; empty for this host
+        bool waiting = false; ///< an attempt runs
+        std::optional<ReplyMessage> lastAnswer; ///< failure of an upstream, kept while another is tried
+        std::string lastReason;
+        TimerId timer = 0;
+    };
+    using CallPtr = std::shared_ptr<Call>;
+
+    bool authorize(Call &call, const CallerRequest &request);
+    bool admit(Call &call);
+    void begin(const CallPtr &call, const CallerRequest &request);
+    std::string pickService(const Route &route);
+    bool dispatch(const CallPtr &call);
+    void conclude(const CallPtr &call, ReplyMessage reply);
+    bool mayRepeat(const Call &call, CallOutcome outcome) const;
+    void settle(const CallPtr &call);
+    void deadline(const CallPtr &call);
+    void callerLeft(const CallPtr &call);
+    void cancelAttempt(const Call &call);
+    void answer(const CallPtr &call, ReplyMessage reply);
+    void refuse(Call &call, int status, double retryAfterMs, Event event, const std::string &reason);
+    void release(const CallPtr &call);
+    void logEnd(const Call &call, Event event, int status, const std::string &reason);
+    double retryAfterMs(const Call &call);
+    double now() const
+    {
+        return m_loop.clock().preciseMs();
+    }
+
+    EventLoop &m_loop;
+    const Dialect &m_dialect;
+    EventLog &m_log;
+    Metrics &m_metrics;
+    Identity m_identity;
+    UpstreamPort &m_local;
+    LinkPool &m_links;
+    Random m_random;
+    std::shared_ptr<const FleetConfig> m_config;
+    TimeMs m_proofUntil = 0;
+    Directory m_directory;
+    AdmissionLevel m_admission;
+    RetryTokens m_retryTokens;
+    TeamMeter m_meter;
+    std::unordered_map<std::uint64_t, CallPtr> m_calls;
+    std::map<std::string, int> m_callsOfPeer;
+    std::map<std::string, std::vector<double>> m_weightCredit; ///< by route name, one for each service
+    std::uint64_t m_lastCall = 0;
+};
+}
--- /dev/null
+++ b/packages/meshnode/directory.cpp
@@ -0,0 +1,157 @@
+#include "directory.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace Yuccagrade::Mesh
+{
+namespace
+{
+// Added to the load of an upstream in another domain, so that equal ones nearby are preferred.
+constexpr double otherDomainPenalty = 0.05;
+// A cold upstream works at about half its speed.
+constexpr double coldFactor = 2;
+// A load report says nothing after this time; then only own calls count.
+constexpr double loadValidMs = 2'000;
+// Spread of the score, so that nodes with the same reports do not all choose the same upstream.
+constexpr double scoreJitter = 0.05;
+constexpr double avoidMs = 300;
+constexpr int maxAvoidSteps = 4;
+constexpr double pressureSmoothing = 0.1;
+constexpr double pressureFadeMs = 500;
+constexpr int assumedLimit = 8; // of an upstream that states no slots
+}
+
+Directory::Directory(std::string domain, Random random)
+    : m_domain(std::move(domain))
+    , m_random(std::move(random))
+{
+}
+
+void Directory::replace(const std::vector<UpstreamEntry> &entries)
+{
+    std::map<std::string, Upstream, std::less<>> next;
+    for (const UpstreamEntry &entry : entries) {
+        const auto known = m_upstreams.find(entry.id);
+        Upstream upstream = known == m_upstreams.end() ? Upstream() : known->second;
+        upstream.entry = entry;
+        next.emplace(entry.id, std::move(upstream));
+    }
+    // Calls that still run keep their counts until they end.
+    for (auto &[id, upstream] : m_upstreams) {
+        if (upstream.outstanding > 0 && !next.contains(id)) {
+            upstream.entry.state = UpstreamState::Draining;
+            next.emplace(id, std::move(upstream));
+        }
+    }
+    m_upstreams = std::move(next);
+}
+
+void Directory::update(const std::vector<UpstreamEntry> &entries)
+{
+    for (const UpstreamEntry &entry : entries) {
+        m_upstreams[entry.id].entry = entry;
+    }
+}
+
+double Directory::score(const Upstream &upstream, double nowMs)
+{
+    const bool fresh = nowMs - upstream.loadAtMs < loadValidMs && upstream.load.limit > 0;
+    const double limit = fresh ? upstream.load.limit : std::max(upstream.entry.slots, assumedLimit);
+    const double busy = fresh ? upstream.load.busy + upstream.sentSinceLoad : upstream.outstanding;
+    double result = (busy + 1) / limit;
+    if (upstream.entry.coldLeftMs > 0) {
+        result *= coldFactor;
+    }
+    if (upstream.entry.domain != m_domain) {
+        result += otherDomainPenalty;
+    }
+    return result + m_random.fraction() * scoreJitter;
+}
+
+const UpstreamEntry *Directory::choose(std::string_view service,
+                                       const std::set<std::string> &tried,
+                                       const std::function<bool(const std::string &)> &reachable,
+                                       double nowMs)
+{
+    const UpstreamEntry *best = nullptr;
+    const UpstreamEntry *fallback = nullptr;
+    double bestScore = std::numeric_limits<double>::max();
+    for (const auto &[id, upstream] : m_upstreams) {
+        if (upstream.entry.service != service || upstream.entry.state == UpstreamState::Draining || tried.contains(id)
+            || !reachable(upstream.entry.peerAddress)) {
+            continue;
+        }
+        if (upstream.entry.state == UpstreamState::Unreachable || nowMs < upstream.avoidUntilMs) {
+            fallback = &upstream.entry;
+            continue;
+        }
+        const double current = score(upstream, nowMs);
+        if (current < bestScore) {
+            bestScore = current;
+            best = &upstream.entry;
+        }
+    }
+    return best ? best : fallback;
+}
+
+void Directory::noteSent(const std::string &upstreamId)
+{
+    const auto found = m_upstreams.find(upstreamId);
+    if (found != m_upstreams.end()) {
+        ++found->second.outstanding;
+        ++found->second.sentSinceLoad;
+    }
+}
+
+void Directory::noteDone(const std::string &upstreamId)
+{
+    const auto found = m_upstreams.find(upstreamId);
+    if (found != m_upstreams.end()) {
+        found->second.outstanding = std::max(0, found->second.outstanding - 1);
+    }
+}
+
+void Directory::noteLoad(const std::string &upstreamId, const LoadReport &load, double nowMs)
+{
+    const auto found = m_upstreams.find(upstreamId);
+    if (found == m_upstreams.end()) {
+        return;
+    }
+    Upstream &upstream = found->second;
+    upstream.load = load;
+    upstream.loadAtMs = nowMs;
+    // The report contains nearly all calls that were sent before it.
+    upstream.sentSinceLoad = 0;
+    upstream.failures = 0;
+    upstream.avoidUntilMs = 0;
+    Pressure &pressure = m_pressure[upstream.entry.service];
+    pressure.waitMs += (load.pressure - pressure.waitMs) * pressureSmoothing;
+    pressure.updatedMs = nowMs;
+}
+
+void Directory::noteFailure(const std::string &upstreamId, double nowMs)
+{
+    const auto found = m_upstreams.find(upstreamId);
+    if (found != m_upstreams.end()) {
+        found->second.failures = std::min(found->second.failures + 1, maxAvoidSteps);
+        found->second.avoidUntilMs = nowMs + avoidMs * found->second.failures;
+    }
+}
+
+double Directory::pressure(std::string_view service, double nowMs) const
+{
+    const auto found = m_pressure.find(service);
+    return found == m_pressure.end() ? 0 : found->second.waitMs * std::exp(-(nowMs - found->second.updatedMs) / pressureFadeMs);
+}
+
+double Directory::worstPressure(double nowMs) const
+{
+    double worst = 0;
+    for (const auto &[service, pressure] : m_pressure) {
+        worst = std::max(worst, pressure.waitMs * std::exp(-(nowMs - pressure.updatedMs) / pressureFadeMs));
+    }
+    return worst;
+}
+}
--- /dev/null
+++ b/packages/meshnode/directory.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "base/random.h"
+#include "mesh/messages.h"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Yuccagrade::Mesh
+{
+/// The upstreams of all hosts, as this node knows them, and the choice among them.
+class Directory
+{
+public:
+    Directory(std::string domain, Random random);
+
+    /// Replaces the list. What was learned of upstreams that stay is kept.
+    void replace(const std::vector<UpstreamEntry> &entries);
+    /// Takes the newer state of the upstreams of one node, as that node told it.
+    void update(const std::vector<UpstreamEntry> &entries);
+    /// Returns the upstream of @p service to which a call goes next, or null if none can take it. Upstreams in
+    /// @p tried are left out, and so are those whose node is not @p reachable.
+    const UpstreamEntry *choose(std::string_view service,
+                                const std::set<std::string> &tried,
+                                const std::function<bool(const std::string &peerAddress)> &reachable,
+                                double nowMs);
+    void noteSent(const std::string &upstreamId);
+    void noteDone(const std::string &upstreamId);
+    /// Takes the load that came with an answer.
+    void noteLoad(const std::string &upstreamId, const LoadReport &load, double nowMs);
+    /// A call could not be sent or got no answer: the upstream is avoided for a while.
+    void noteFailure(const std::string &upstreamId, double nowMs);
+    /// Smoothed wait at the upstreams of @p service in ms.
+    double pressure(std::string_view service, double nowMs) const;
+    /// The highest pressure of all services.
+    double worstPressure(double nowMs) const;
+    std::size_t size() const
+    {
+        return m_upstreams.size();
+    }
+
+private:
+    struct Upstream {
+        UpstreamEntry entry;
+        LoadReport load;
+        double loadAtMs = 0;
+        double coldUntilMs = 0;
+        double avoidUntilMs = 0;
+        int failures = 0; ///< in a row
+        int outstanding = 0; ///< calls of this node
+        int sentSinceLoad = 0; ///< calls that the last report does not contain
+    };
+    struct Pressure {
+        double waitMs = 0;
+        double updatedMs = 0;
+    };
+    double score(const Upstream &upstream, double nowMs);
+
+    std::string m_domain;
+    Random m_random;
+    std::map<std::string, Upstream, std::less<>> m_upstreams;
+    std::map<std::string, Pressure, std::less<>> m_pressure; ///< by service
+};
+}
--- /dev/null
+++ b/packages/meshnode/leaderclient.cpp
@@ -0,0 +1,133 @@
+#include "leaderclient.h"
+
+#include <algorithm>
+
+namespace Yuccagrade::Mesh
+{
+namespace
+{
+// Shares and proofs follow demand within a few of these.
+constexpr TimeMs reportPeriodMs = 250;
+// A control host that does not answer within this time is left for another one.
+constexpr TimeMs answerTimeoutMs = 700;
+}
+
+LeaderClient::LeaderClient(EventLoop &loop, LinkPool &links, EventLog &log, std::vector<std::string> seeds)
+    : m_loop(loop)
+    , m_links(links)
+    , m_log(log)
+    , m_seeds(std::move(seeds))
+    , m_hosts(m_seeds)
+{
+}
+
+void LeaderClient::start()
+{
+    m_answeredAt = m_loop.clock().now();
+    m_loop.every(reportPeriodMs, [this] {
+        tick();
+    });
+    tick();
+}
+
+void LeaderClient::setSeeds(const std::vector<std::string> &seeds)
+{
+    m_seeds = seeds;
+    for (const std::string &seed : seeds) {
+        if (std::find(m_hosts.begin(), m_hosts.end(), seed) == m_hosts.end()) {
+            m_hosts.push_back(seed);
+        }
+    }
+}
+
+void LeaderClient::setContact(bool inContact)
+{
+    if (inContact != m_inContact) {
+        m_inContact = inContact;
+        m_log.write(inContact ? Event::LeaderContactRegained : Event::LeaderContactLost, {{"control", m_target}});
+    }
+}
+
+void LeaderClient::nextTarget()
+{
+    setContact(false);
+    m_sentAt.clear();
+    if (m_hosts.empty()) {
+        return;
+    }
+    m_target = m_hosts[m_next % m_hosts.size()];
+    ++m_next;
+    m_answeredAt = m_loop.clock().now();
+}
+
+void LeaderClient::tick()
+{
+    if (m_target.empty() || m_loop.clock().now() - m_answeredAt > answerTimeoutMs) {
+        nextTarget();
+    }
+    send();
+}
+
+void LeaderClient::reportNow()
+{
+    if (!m_target.empty()) {
+        send();
+    }
+}
+
+void LeaderClient::send()
+{
+    FrameLink *link = m_target.empty() ? nullptr : m_links.link(m_target);
+    if (!link) {
+        nextTarget();
+        return;
+    }
+    SyncMessage message = report();
+    message.sequence = ++m_sequence;
+    m_sentAt[m_sequence] = m_loop.clock().now();
+    link->send(FrameType::Sync, encode(message));
+}
+
+void LeaderClient::received(const std::string &address, const SyncReplyMessage &reply)
+{
+    if (address != m_target) {
+        return;
+    }
+    TimeMs sentAt = 0;
+    if (const auto found = m_sentAt.find(reply.sequence); found != m_sentAt.end()) {
+        sentAt = found->second;
+        m_sentAt.erase(m_sentAt.begin(), std::next(found));
+    }
+    if (!reply.leads) {
+        const std::string leader = reply.leaderAddress;
+        nextTarget();
+        if (!leader.empty() && leader != address) {
+            m_target = leader;
+            send();
+        }
+        return;
+    }
+    // A leader of an earlier term was replaced and does not know it yet.
+    if (reply.directoryTerm < m_term) {
+        nextTarget();
+        return;
+    }
+    m_term = reply.directoryTerm;
+    m_answeredAt = m_loop.clock().now();
+    m_hosts = m_seeds;
+    for (const std::string &host : reply.controlHosts) {
+        if (std::find(m_hosts.begin(), m_hosts.end(), host) == m_hosts.end()) {
+            m_hosts.push_back(host);
+        }
+    }
+    setContact(true);
+    onReply(reply, sentAt);
+}
+
+void LeaderClient::linkClosed(const std::string &address)
+{
+    if (address == m_target) {
+        nextTarget();
+    }
+}
+}
--- /dev/null
+++ b/packages/meshnode/meshnode.cpp
@@ -0,0 +1,392 @@
+#include "meshnode.h"
+
+#include "callbroker.h"
+#include "leaderclient.h"
+
+#include <algorithm>
+#include <unistd.h>
+
+namespace Yuccagrade::Mesh
+{
+namespace
+{
+// Part of the withdrawal time for which keys are trusted without contact; the rest covers the way of the
+// acknowledgement and requests that were read before.
+constexpr double proofShare = 0.85;
+// After SIGTERM new requests are served for this time, in which callers and other nodes turn away.
+constexpr TimeMs turnAwayMs = 2'600;
+// Kept back from the time to stop, for the last answers to leave.
+constexpr TimeMs exitMarginMs = 250;
+constexpr TimeMs drainCheckMs = 50;
+// Changes of state within this time go out together.
+constexpr TimeMs statusDelayMs = 5;
+
+class Node
+{
+public:
+    Node(const MeshSettings &settings, const Dialect &dialect, SettingsReader readAgain);
+
+    bool open();
+    int run();
+
+private:
+    void acceptPeer(std::shared_ptr<TcpStream> stream);
+    void peerFrame(std::uint64_t linkId, FrameType type, std::string_view payload);
+    void linkFrame(const std::string &address, FrameType type, std::string_view payload);
+    void malformed(const std::string &source);
+    SyncMessage report();
+    void synced(const SyncReplyMessage &reply, TimeMs sentMs);
+    void applyDocument(const SyncReplyMessage &reply);
+    void announced(const std::shared_ptr<PortExchange> &exchange);
+    void answerReadiness(const std::shared_ptr<PortExchange> &exchange);
+    void answerMetrics(const std::shared_ptr<PortExchange> &exchange);
+    void stateChanged();
+    void sendStatus();
+    void noteProof();
+    void drain();
+    void checkDrained();
+    bool isReady() const;
+
+    MeshSettings m_settings;
+    const Dialect &m_dialect;
+    SettingsReader m_readAgain;
+    EventLoop m_loop;
+    EventLog m_log;
+    Metrics m_metrics;
+    LinkPool m_links;
+    UpstreamPort m_upstreams;
+    CallBroker m_broker;
+    LeaderClient m_leader;
+    HttpPort m_callers;
+    HttpPort m_readiness;
+    HttpPort m_announcements;
+    HttpPort m_metricsPort;
+    TcpListener m_peers;
+    std::map<std::uint64_t, std::shared_ptr<FrameLink>> m_peerLinks;
+    std::uint64_t m_lastLink = 0;
+    std::uint64_t m_configIndex = 0;
+    std::uint64_t m_directoryVersion = 0;
+    std::uint64_t m_directoryTerm = 0;
+    std::uint64_t m_configVersion = 0;
+    bool m_hadProof = false;
+    bool m_statusScheduled = false;
+    TimeMs m_drainingSince = 0; ///< 0 while not draining
+    bool m_listening = true;
+};
+
+Node::Node(const MeshSettings &settings, const Dialect &dialect, SettingsReader readAgain)
+    : m_settings(settings)
+    , m_dialect(dialect)
+    , m_readAgain(std::move(readAgain))
+    , m_log(m_loop.clock(), settings.name, "-")
+    , m_links(m_loop, settings.hostIp)
+    , m_upstreams(m_loop, dialect, m_log, m_metrics, {settings.domain, settings.service, settings.peerAddress, settings.hostIp})
+    , m_broker(m_loop, dialect, m_log, m_metrics, {settings.service, settings.domain, settings.peerAddress}, settings.terms, m_upstreams, m_links,
+               Random(std::hash<std::string>()(settings.name) ^ static_cast<std::uint64_t>(m_loop.clock().wall())))
+    , m_leader(m_loop, m_links, m_log, settings.seeds)
+    , m_callers(m_loop,
+                [this](const auto &exchange) {
+                    m_broker.handle(exchange);
+                })
+    , m_readiness(m_loop,
+                  [this](const auto &exchange) {
+                      answerReadiness(exchange);
+                  })
+    , m_announcements(m_loop,
+                      [this](const auto &exchange) {
+                          announced(exchange);
+                      })
+    , m_metricsPort(m_loop,
+                    [this](const auto &exchange) {
+                        answerMetrics(exchange);
+                    })
+    , m_peers(m_loop, [this](std::shared_ptr<TcpStream> stream) {
+        acceptPeer(std::move(stream));
+    })
+{
+    m_links.onFrame = [this](const std::string &address, FrameType type, std::string_view payload) {
+        linkFrame(address, type, payload);
+    };
+    m_links.onClosed = [this](const std::string &address) {
+        m_broker.linkClosed(address);
+        m_leader.linkClosed(address);
+    };
+    m_links.isBusy = [this](const std::string &address) {
+        return m_broker.expectsReply(address) || m_leader.expectsReply(address);
+    };
+    m_upstreams.onStateChanged = [this] {
+        stateChanged();
+    };
+    m_upstreams.downstreamPressure = [this] {
+        return m_broker.directory().worstPressure(m_loop.clock().preciseMs());
+    };
+    m_leader.report = [this] {
+        return report();
+    };
+    m_leader.onReply = [this](const SyncReplyMessage &reply, TimeMs sentMs) {
+        synced(reply, sentMs);
+    };
+}
+
+bool Node::open()
+{
+    const auto listen = [this](auto &port, const std::string &address) {
+        const auto error = address.empty() ? std::error_code() : port.listen(address);
+        if (error) {
+            m_log.write(Event::ListenFailed, {{"address", address}, {"error", error.message()}});
+        }
+        return !error;
+    };
+    return listen(m_peers, m_settings.peerAddress) && listen(m_callers, m_settings.callerAddress) && listen(m_readiness, m_settings.readinessAddress)
+        && listen(m_announcements, m_settings.announcementAddress) && listen(m_metricsPort, m_settings.metricsAddress);
+}
+
+int Node::run()
+{
+    m_log.write(Event::ProcessStarted, {{"role", "node"}, {"service", m_settings.service}, {"peer", m_settings.peerAddress}});
+    m_loop.onTerminate([this] {
+        drain();
+    });
+    m_loop.onHangup([this] {
+        const MeshSettings settings = m_readAgain();
+        m_log.write(Event::SettingsReloaded, {{"seeds", std::to_string(settings.seeds.size())}});
+        m_leader.setSeeds(settings.seeds);
+    });
+    m_leader.start();
+    m_loop.run();
+    m_log.write(Event::ProcessStopped);
+    return 0;
+}
+
+void Node::malformed(const std::string &source)
+{
+    m_log.write(Event::PeerRejected, {{"source", source}, {"cause", "malformed frame"}});
+}
+
+void Node::acceptPeer(std::shared_ptr<TcpStream> stream)
+{
+    const std::uint64_t id = ++m_lastLink;
+    const auto link = FrameLink::open(std::move(stream), m_loop.clock());
+    link->onFrame = [this, id](FrameType type, std::string_view payload) {
+        peerFrame(id, type, payload);
+    };
+    link->onClosed = [this, id] {
+        m_peerLinks.erase(id);
+    };
+    m_peerLinks[id] = link;
+}
+
+// A call or cancellation of another node.
+void Node::peerFrame(std::uint64_t linkId, FrameType type, std::string_view payload)
+{
+    if (type == FrameType::Call) {
+        CallMessage message;
+        if (!decode(payload, message)) {
+            malformed("peer link");
+            return;
+        }
+        const std::weak_ptr<FrameLink> link = m_peerLinks[linkId];
+        m_upstreams.offer(std::move(message), linkId, [link](const ReplyMessage &reply) {
+            if (const auto open = link.lock()) {
+                open->send(FrameType::Reply, encode(reply));
+            }
+        });
+    } else if (type == FrameType::Cancel) {
+        CancelMessage message;
+        if (decode(payload, message)) {
+            m_upstreams.cancel(linkId, message.callId);
+        } else {
+            malformed("peer link");
+        }
+    } else {
+        malformed("peer link");
+    }
+}
+
+void Node::linkFrame(const std::string &address, FrameType type, std::string_view payload)
+{
+    if (type == FrameType::Reply) {
+        ReplyMessage reply;
+        if (decode(payload, reply)) {
+            m_broker.replied(address, reply);
+            return;
+        }
+    } else if (type == FrameType::SyncReply) {
+        SyncReplyMessage reply;
+        if (decode(payload, reply)) {
+            m_leader.received(address, reply);
+            return;
+        }
+    } else if (type == FrameType::Status) {
+        StatusMessage status;
+        if (decode(payload, status)) {
+            m_broker.directory().update(status.upstreams);
+            return;
+        }
+    }
+    malformed(address);
+}
+
+SyncMessage Node::report()
+{
+    noteProof();
+    SyncMessage message;
+    message.name = m_settings.name;
+    message.peerAddress = m_settings.peerAddress;
+    message.configIndex = m_configIndex;
+    message.directoryVersion = m_directoryVersion;
+    message.directoryTerm = m_directoryTerm;
+    message.upstreams = m_upstreams.entries();
+    message.demand = m_broker.meter().demand(m_loop.clock().preciseMs());
+    return message;
+}
+
+void Node::synced(const SyncReplyMessage &reply, TimeMs sentMs)
+{
+    if (reply.hasDocument) {
+        applyDocument(reply);
+    }
+    if (reply.hasDirectory) {
+        m_directoryVersion = reply.directoryVersion;
+        m_directoryTerm = reply.directoryTerm;
+        m_broker.directory().replace(reply.directory);
+        m_broker.retryTokens().setNodes(reply.directory.size());
+    }
+    m_broker.meter().setShares(reply.shares);
+    // The proof counts from the leader's contact with a majority; the way of the answer is not known and left out.
+    if (sentMs > 0 && reply.proofAgeMs >= 0 && m_configIndex == reply.configIndex && m_configIndex > 0) {
+        const auto validMs = static_cast<TimeMs>(static_cast<double>(m_settings.terms.withdrawalMs) * proofShare - reply.proofAgeMs);
+        m_broker.setProof(sentMs + validMs);
+    }
+    noteProof();
+}
+
+void Node::noteProof()
+{
+    const bool valid = m_broker.hasProof();
+    if (valid != m_hadProof) {
+        m_hadProof = valid;
+        m_log.write(valid ? Event::ProofRegained : Event::ProofLost, {{"config", std::to_string(m_configVersion)}});
+    }
+}
+
+void Node::applyDocument(const SyncReplyMessage &reply)
+{
+    if (reply.configIndex <= m_configIndex) {
+        return;
+    }
+    const auto config = std::make_shared<FleetConfig>();
+    Findings findings;
+    m_dialect.readDocument(reply.document, *config, findings);
+    if (!findings.empty()) {
+        m_log.write(Event::ManifestRefused, {{"index", std::to_string(reply.configIndex)}, {"findings", toText(findings)}});
+        return;
+    }
+    m_configIndex = reply.configIndex;
+    m_configVersion = config->version;
+    m_broker.setConfig(config);
+    m_upstreams.setConfig(config);
+    m_callers.setLimits({config->limits.maxHeaderBytes, config->limits.maxBodyBytes}, {config->limits.headerTimeoutMs, config->limits.idleTimeoutMs});
+    m_log.write(Event::StateApplied,
+                {{"index", std::to_string(m_configIndex)}, {"config", std::to_string(config->version)}, {"routes", std::to_string(config->routes.size())}});
+}
+
+void Node::announced(const std::shared_ptr<PortExchange> &exchange)
+{
+    std::string error;
+    const auto announcement = m_dialect.readAnnouncement(exchange->request(), error);
+    if (!announcement) {
+        m_log.write(Event::MalformedRequest, {{"source", "announcement"}, {"cause", error}});
+        exchange->respond(responseHead(400), {});
+        return;
+    }
+    if (!m_upstreams.announce(*announcement)) {
+        m_log.write(Event::MalformedRequest, {{"source", "announcement"}, {"upstream", announcement->id}, {"cause", "outdated or of another service"}});
+    }
+    exchange->respond(responseHead(200, {{"Content-Type", "application/json"}}), "{}");
+}
+
+bool Node::isReady() const
+{
+    return m_configIndex > 0 && m_broker.hasProof() && m_drainingSince == 0;
+}
+
+void Node::answerReadiness(const std::shared_ptr<PortExchange> &exchange)
+{
+    noteProof();
+    const bool known = exchange->request().target == m_dialect.readinessPath;
+    exchange->respond(responseHead(!known ? 404 : isReady() ? 200 : 503), {});
+}
+
+void Node::answerMetrics(const std::shared_ptr<PortExchange> &exchange)
+{
+    m_metrics.gauge("calls_pending", static_cast<double>(m_broker.pending()));
+    m_metrics.gauge("upstream_calls_pending", static_cast<double>(m_upstreams.pending()));
+    m_metrics.gauge("caller_connections", static_cast<double>(m_callers.connections()));
+    m_metrics.gauge("config_version", static_cast<double>(m_configVersion));
+    m_metrics.gauge("key_proof_valid", m_broker.hasProof() ? 1 : 0);
+    m_metrics.gauge("directory_upstreams", static_cast<double>(m_broker.directory().size()));
+    exchange->respond(responseHead(200, {{"Content-Type", "text/plain; version=0.0.4"}}), m_metrics.text());
+}
+
+void Node::stateChanged()
+{
+    if (m_statusScheduled) {
+        return;
+    }
+    m_statusScheduled = true;
+    m_loop.after(statusDelayMs, [this] {
+        m_statusScheduled = false;
+        sendStatus();
+    });
+}
+
+// Nodes that call this host learn of a change at once; all others through the leader.
+void Node::sendStatus()
+{
+    const std::string status = encode(StatusMessage{m_upstreams.entries(), m_upstreams.load()});
+    for (const auto &[id, link] : m_peerLinks) {
+        link->send(FrameType::Status, status);
+    }
+    m_broker.directory().update(m_upstreams.entries());
+    m_leader.reportNow();
+}
+
+void Node::drain()
+{
+    if (m_drainingSince > 0) {
+        return;
+    }
+    m_drainingSince = m_loop.clock().now();
+    m_log.write(Event::DrainStarted, {{"pending", std::to_string(m_broker.pending())}});
+    m_callers.closeAfterResponses();
+    m_upstreams.drain();
+    m_loop.every(drainCheckMs, [this] {
+        checkDrained();
+    });
+}
+
+void Node::checkDrained()
+{
+    const TimeMs elapsed = m_loop.clock().now() - m_drainingSince;
+    if (elapsed < turnAwayMs) {
+        return;
+    }
+    if (m_listening) {
+        m_listening = false;
+        m_callers.stopListening();
+    }
+    const bool idle = m_callers.pending() == 0 && m_upstreams.pending() == 0;
+    if (idle || elapsed > m_settings.terms.stopMs - exitMarginMs) {
+        m_log.write(Event::DrainFinished, {{"pending", std::to_string(m_broker.pending())}});
+        m_loop.stop();
+    }
+}
+}
+
+int runMeshNode(const MeshSettings &settings, const Dialect &dialect, const SettingsReader &readAgain)
+{
+    Node node(settings, dialect, readAgain);
+    return node.open() ? node.run() : 1;
+}
+}
--- /dev/null
+++ b/packages/meshnode/retrytokens.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <map>
+#include <string>
+
+namespace Yuccagrade::Mesh
+{
+/// Bounds how often calls of a service are sent again. All nodes together share a budget of a ratio of the service's
+/// requests and a fixed number in each window; every node uses its own part of both without asking.
+class RetryTokens
+{
+public:
+    /// @param ratio sends beyond the first per request; @param perWindow fixed number of all nodes per window.
+    RetryTokens(double ratio, double perWindow, double windowMs);
+
+    void setNodes(std::size_t nodes);
+    /// A request of @p service was sent for the first time.
+    void noteRequest(const std::string &service, double nowMs);
+    /// Takes a token if there is one.
+    bool tryTake(const std::string &service, double nowMs);
+
+private:
+    struct Tokens {
+        double level = 0;
+        double updatedMs = 0;
+    };
+    Tokens &refill(const std::string &service, double nowMs);
+    double cap() const;
+
+    double m_ratio;
+    double m_perWindow;
+    double m_windowMs;
+    double m_nodes = 1;
+    std::map<std::string, Tokens> m_tokens;
+};
+}
--- /dev/null
+++ b/packages/meshnode/upstreamconnection.cpp
@@ -0,0 +1,196 @@
+#include "upstreamconnection.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace Yuccagrade::Mesh
+{
+namespace
+{
+// Idle time after which a connection is not reused if the upstream states no limit of its own.
+constexpr double defaultIdleMs = 4'000;
+// Kept back from a stated limit: the upstream may close just as a call is sent.
+constexpr double idleMarginMs = 1'500;
+
+std::string forwardedHead(const HttpMessage &message)
+{
+    std::string head = "HTTP/1.1 " + std::to_string(message.status) + ' ' + message.reason + "\r\n";
+    for (const auto &[name, value] : message.fields) {
+        if (!isConnectionField(name)) {
+            head += name + ": " + value + "\r\n";
+        }
+    }
+    return head;
+}
+}
+
+UpstreamConnection::UpstreamConnection(EventLoop &loop, const Dialect &dialect, std::shared_ptr<TcpStream> stream)
+    : m_loop(loop)
+    , m_dialect(dialect)
+    , m_stream(std::move(stream))
+    , m_reader(HttpReader::Kind::Response)
+    , m_reusableUntilMs(std::numeric_limits<double>::max())
+{
+}
+
+std::shared_ptr<UpstreamConnection>
+UpstreamConnection::open(EventLoop &loop, const Dialect &dialect, const std::string &address, const std::string &sourceIp)
+{
+    auto stream = TcpStream::connect(loop, address, sourceIp);
+    if (!stream) {
+        return nullptr;
+    }
+    std::shared_ptr<UpstreamConnection> connection(new UpstreamConnection(loop, dialect, std::move(stream)));
+    connection->start();
+    return connection;
+}
+
+void UpstreamConnection::start()
+{
+    m_stream->onData = [weak = weak_from_this()](std::string_view data) {
+        if (const auto self = weak.lock()) {
+            self->read(data);
+        }
+    };
+    m_stream->onClosed = [weak = weak_from_this()](bool clean) {
+        if (const auto self = weak.lock()) {
+            self->closed(clean);
+        }
+    };
+}
+
+void UpstreamConnection::send(OfferedCall call)
+{
+    m_sentAtMs = m_loop.clock().preciseMs();
+    m_heard = false;
+    m_reader.expectNoBody(call.message.headOnly);
+    m_stream->write(call.message.head);
+    m_stream->write(m_dialect.renderHop(call.message.upstreamId, call.deadlineMs - m_sentAtMs));
+    m_stream->write("\r\n");
+    m_stream->write(call.message.body);
+    m_call = std::move(call);
+    m_call->message.body.clear();
+}
+
+void UpstreamConnection::read(std::string_view data)
+{
+    m_heard = true;
+    while (!data.empty() && isOpen()) {
+        if (!m_call) {
+            m_tainted = true;
+            close();
+            if (const auto hook = onIdleClosed) {
+                hook(shared_from_this());
+            }
+            return;
+        }
+        data.remove_prefix(m_reader.read(data));
+        if (m_reader.state() == HttpReader::State::Reading) {
+            continue;
+        }
+        if (m_reader.state() != HttpReader::State::Complete) {
+            abandon("malformed response");
+            return;
+        }
+        // Bytes behind a complete response belong to no call.
+        m_tainted = m_tainted || (!data.empty() && m_reader.state() == HttpReader::State::Complete);
+        if (finishMessage()) {
+            return;
+        }
+    }
+}
+
+// Returns false if the message did not end the present call.
+bool UpstreamConnection::finishMessage()
+{
+    HttpMessage message = m_reader.take();
+    if (message.status / 100 == 1) {
+        m_tainted = false;
+        return false;
+    }
+    const UpstreamAnswer answer = m_dialect.readAnswer(message);
+    if (answer.load && onLoad) {
+        onLoad(*answer.load);
+    }
+    if (!answer.requestId.empty() && answer.requestId != m_call->message.requestId) {
+        // A late answer to an earlier call; the answer to the present one follows.
+        m_tainted = true;
+        return false;
+    }
+    ReplyMessage reply;
+    if (answer.notExecuted || answer.wrongUpstream) {
+        reply.outcome = CallOutcome::Declined;
+        reply.reason = answer.wrongUpstream ? "wrong upstream" : "declined by the upstream";
+    } else if (message.status / 100 == 2 && !answer.hasReceipt) {
+        reply.outcome = CallOutcome::MayHaveRun;
+        reply.reason = "response without receipt";
+        m_tainted = true;
+    } else {
+        reply.outcome = CallOutcome::Answered;
+        reply.status = message.status;
+        reply.head = forwardedHead(message);
+        reply.body = std::move(message.body);
+    }
+    const double idle = answer.idleTimeoutMs ? std::max(0.0, static_cast<double>(*answer.idleTimeoutMs) - idleMarginMs) : defaultIdleMs;
+    m_reusableUntilMs = m_loop.clock().preciseMs() + idle;
+    m_tainted = m_tainted || !message.keepAlive || message.untilClose || m_stream->unsent() > 0;
+    finish(std::move(reply));
+    return true;
+}
+
+void UpstreamConnection::finish(ReplyMessage reply, bool connectFailed)
+{
+    if (m_tainted) {
+        m_stream->close();
+    }
+    OfferedCall call = std::move(*m_call);
+    m_call.reset();
+    reply.callId = call.message.callId;
+    if (const auto hook = onDone) {
+        hook(shared_from_this(), std::move(call), std::move(reply), connectFailed);
+    }
+}
+
+void UpstreamConnection::closed(bool clean)
+{
+    if (!m_call) {
+        if (const auto hook = onIdleClosed) {
+            hook(shared_from_this());
+        }
+        return;
+    }
+    m_tainted = true;
+    if (clean) {
+        m_reader.readEnd();
+        if (m_reader.state() == HttpReader::State::Complete && finishMessage()) {
+            return;
+        }
+    }
+    ReplyMessage reply;
+    const bool connected = m_stream->sent() > 0;
+    reply.outcome = connected ? CallOutcome::MayHaveRun : CallOutcome::NotOffered;
+    reply.reason = connected ? "connection to the upstream closed" : "no connection to the upstream";
+    finish(std::move(reply), !connected);
+}
+
+void UpstreamConnection::abandon(const std::string &reason)
+{
+    m_tainted = true;
+    const bool sent = m_stream->sent() > 0;
+    m_stream->close();
+    if (!m_call) {
+        return;
+    }
+    ReplyMessage reply;
+    reply.outcome = sent ? CallOutcome::MayHaveRun : CallOutcome::NotOffered;
+    reply.reason = reason;
+    finish(std::move(reply), !sent);
+}
+
+void UpstreamConnection::close()
+{
+    m_call.reset();
+    m_stream->close();
+}
+}
--- /dev/null
+++ b/packages/meshnode/upstreamport.cpp
@@ -0,0 +1,426 @@
+#include "upstreamport.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace Yuccagrade::Mesh
+{
+namespace
+{
+// Part of the slots that is used: some upstreams slow down when they are nearly full.
+constexpr double usedSlotShare = 0.95;
+constexpr int defaultSlots = 8; // of an upstream that states none
+constexpr double sweepPeriodMs = 20;
+// Time to open a connection; on one host it takes a few ms.
+constexpr double connectTimeoutMs = 300;
+// An upstream that answers nothing for this time and for several times its usual time is taken for gone.
+constexpr double minSilenceMs = 1'000;
+constexpr double silenceFactor = 5;
+// Pause between trials of an upstream that is gone.
+constexpr double trialPauseMs = 400;
+// The upstream answers at the deadline by itself; its answer needs a moment.
+constexpr double deadlineGraceMs = 60;
+// Weight of a new value in the smoothed times.
+constexpr double smoothing = 0.1;
+// An upstream without calls does not measure waits; the value fades with this time constant.
+constexpr double pressureFadeMs = 300;
+// An upstream that was silent for this time is forgotten.
+constexpr double forgetAfterMs = 60'000;
+}
+
+UpstreamPort::UpstreamPort(EventLoop &loop, const Dialect &dialect, EventLog &log, Metrics &metrics, Identity identity)
+    : m_loop(loop)
+    , m_dialect(dialect)
+    , m_log(log)
+    , m_metrics(metrics)
+    , m_identity(std::move(identity))
+{
+}
+
+void UpstreamPort::setConfig(std::shared_ptr<const FleetConfig> config)
+{
+    m_config = std::move(config);
+}
+
+int UpstreamPort::limitOf(const Upstream &upstream) const
+{
+    const int slots = upstream.info.slots > 0 ? upstream.info.slots : defaultSlots;
+    int limit = std::max(1, static_cast<int>(std::floor(slots * usedSlotShare)));
+    const ServiceSpec *spec = m_config ? m_config->service(upstream.info.service) : nullptr;
+    if (spec && spec->maxConnections > 0) {
+        limit = std::min(limit, spec->maxConnections);
+    }
+    return limit;
+}
+
+UpstreamState UpstreamPort::stateOf(const Upstream &upstream) const
+{
+    if (m_draining || upstream.departed || upstream.info.draining) {
+        return UpstreamState::Draining;
+    }
+    return upstream.reachable ? UpstreamState::Ready : UpstreamState::Unreachable;
+}
+
+bool UpstreamPort::announce(const Announcement &announcement)
+{
+    if (announcement.kind == Announcement::Kind::Departure) {
+        const auto found = m_upstreams.find(announcement.id);
+        if (found == m_upstreams.end()) {
+            return true;
+        }
+        // A departure of an earlier incarnation with the same id says nothing about the present one.
+        if (announcement.startedAt != 0 && announcement.startedAt < found->second.info.startedAt) {
+            return false;
+        }
+        found->second.departed = true;
+        m_log.write(Event::UpstreamDraining, {{"upstream", announcement.id}, {"cause", "departure"}});
+        for (OfferedCall &call : found->second.queue.takeAll()) {
+            refuse(std::move(call), "upstream departed");
+        }
+        onStateChanged();
+        return true;
+    }
+    if (announcement.service != m_identity.service && !m_identity.service.empty()) {
+        return false;
+    }
+    Upstream &upstream = m_upstreams[announcement.id];
+    const bool known = upstream.heardAtMs > 0;
+    const bool restarted = known && announcement.startedAt > upstream.info.startedAt;
+    if (known && !restarted && (announcement.startedAt < upstream.info.startedAt || announcement.sequence <= upstream.info.sequence)) {
+        return false;
+    }
+    // An announcement held up behind a cut may name an address that a later incarnation has taken.
+    for (auto &[id, other] : m_upstreams) {
+        if (id != announcement.id && other.heardAtMs > 0 && other.info.address == announcement.address) {
+            if (other.info.startedAt > announcement.startedAt) {
+                if (!known) {
+                    m_upstreams.erase(announcement.id);
+                }
+                return false;
+            }
+            other.departed = true;
+        }
+    }
+    const UpstreamState before = known ? stateOf(upstream) : UpstreamState::Unreachable;
+    const bool changed = !known || restarted || upstream.info.slots != announcement.slots || upstream.info.draining != announcement.draining;
+    upstream.info = announcement;
+    upstream.heardAtMs = now();
+    if (restarted) {
+        upstream.departed = false;
+        for (const auto &connection : std::exchange(upstream.connections, {})) {
+            connection->abandon("upstream restarted");
+        }
+    }
+    if (!known || restarted) {
+        m_log.write(Event::UpstreamAnnounced,
+                    {{"upstream", announcement.id}, {"service", announcement.service}, {"address", announcement.address},
+                     {"slots", std::to_string(announcement.slots)}});
+    }
+    setReachable(announcement.id, upstream, true, "announced");
+    if (stateOf(upstream) == UpstreamState::Draining) {
+        for (OfferedCall &call : upstream.queue.takeAll()) {
+            refuse(std::move(call), "upstream drains");
+        }
+        if (before != UpstreamState::Draining) {
+            m_log.write(Event::UpstreamDraining, {{"upstream", announcement.id}, {"cause", "announced"}});
+        }
+    }
+    if (changed || before != stateOf(upstream)) {
+        onStateChanged();
+    }
+    return true;
+}
+
+std::string UpstreamPort::refusalReason(const Upstream *upstream, const CallMessage &message) const
+{
+    if (!upstream) {
+        return "unknown upstream";
+    }
+    if (upstream->info.service != message.service) {
+        return "upstream of another service";
+    }
+    switch (stateOf(*upstream)) {
+    case UpstreamState::Draining:
+        return "upstream drains";
+    case UpstreamState::Unreachable:
+        return upstream->trialRunning || now() < upstream->retryAtMs ? "upstream unreachable" : std::string();
+    case UpstreamState::Ready:
+        break;
+    }
+    return message.timeLeftMs <= 0 ? "no time left" : std::string();
+}
+
+void UpstreamPort::offer(CallMessage message, std::uint64_t owner, ReplyHandler reply)
+{
+    const auto found = m_upstreams.find(message.upstreamId);
+    Upstream *upstream = found == m_upstreams.end() ? nullptr : &found->second;
+    OfferedCall call{std::move(message), std::move(reply), 0, 0, 0, owner};
+    setTimeBounds(call, now());
+    const std::string reason = refusalReason(upstream, call.message);
+    if (!reason.empty()) {
+        refuse(std::move(call), reason);
+        return;
+    }
+    if (mayStart(*upstream) && upstream->queue.empty()) {
+        noteWait(*upstream, 0);
+        start(found->first, *upstream, std::move(call));
+        return;
+    }
+    upstream->queue.add(std::move(call));
+    scheduleSweep();
+}
+
+bool UpstreamPort::mayStart(const Upstream &upstream) const
+{
+    return upstream.active < limitOf(upstream);
+}
+
+void UpstreamPort::refuse(OfferedCall call, const std::string &reason)
+{
+    ReplyMessage reply;
+    reply.callId = call.message.callId;
+    reply.outcome = CallOutcome::NotOffered;
+    reply.reason = reason;
+    m_metrics.count("upstream_refused_total", "reason=\"" + reason + '"');
+    deliver(call, std::move(reply));
+}
+
+void UpstreamPort::deliver(const OfferedCall &call, ReplyMessage reply)
+{
+    reply.load = load();
+    call.reply(std::move(reply));
+}
+
+std::shared_ptr<UpstreamConnection> UpstreamPort::connectionFor(const std::string &id, Upstream &upstream)
+{
+    const double at = now();
+    for (auto entry = upstream.connections.begin(); entry != upstream.connections.end();) {
+        const auto connection = *entry;
+        if (connection->isReusable(at)) {
+            upstream.connections.splice(upstream.connections.begin(), upstream.connections, entry);
+            return connection;
+        }
+        if (!connection->call()) {
+            connection->close();
+            entry = upstream.connections.erase(entry);
+        } else {
+            ++entry;
+        }
+    }
+    const auto connection = UpstreamConnection::open(m_loop, m_dialect, upstream.info.address, m_identity.sourceIp);
+    if (!connection) {
+        return nullptr;
+    }
+    m_metrics.count("upstream_connections_total");
+    connection->onDone = [this, id](const auto &self, OfferedCall call, ReplyMessage reply, bool connectFailed) {
+        finished(id, self, std::move(call), std::move(reply), connectFailed);
+    };
+    connection->onIdleClosed = [this, id](const std::shared_ptr<UpstreamConnection> &self) {
+        m_upstreams[id].connections.remove(self);
+    };
+    upstream.connections.push_front(connection);
+    return connection;
+}
+
+void UpstreamPort::start(const std::string &id, Upstream &upstream, OfferedCall call)
+{
+    upstream.trialRunning = !upstream.reachable;
+    const auto connection = connectionFor(id, upstream);
+    if (!connection) {
+        refuse(std::move(call), "no descriptor left");
+        return;
+    }
+    ++upstream.active;
+    connection->send(std::move(call));
+    scheduleSweep();
+}
+
+void UpstreamPort::finished(const std::string &id,
+                            const std::shared_ptr<UpstreamConnection> &connection,
+                            OfferedCall call,
+                            ReplyMessage reply,
+                            bool connectFailed)
+{
+    Upstream &upstream = m_upstreams[id];
+    upstream.active = std::max(0, upstream.active - 1);
+    upstream.trialRunning = false;
+    if (!connection->isOpen()) {
+        upstream.connections.remove(connection);
+    }
+    if (connectFailed) {
+        upstream.retryAtMs = now() + trialPauseMs;
+        setReachable(id, upstream, false, reply.reason);
+    } else if (reply.outcome == CallOutcome::Answered || reply.outcome == CallOutcome::Declined) {
+        const double took = now() - connection->sentAtMs();
+        upstream.serviceMs += (took - upstream.serviceMs) * smoothing;
+        upstream.heardAtMs = now();
+        m_metrics.sample("upstream_service_ms", took);
+        setReachable(id, upstream, true, "answered");
+        if (reply.reason == "wrong upstream") {
+            upstream.departed = true;
+            onStateChanged();
+        }
+    }
+    if (!upstream.reachable) {
+        for (OfferedCall &waiting : upstream.queue.takeAll()) {
+            refuse(std::move(waiting), "upstream unreachable");
+        }
+    }
+    startWaiting(id, upstream);
+    deliver(call, std::move(reply));
+}
+
+void UpstreamPort::startWaiting(const std::string &id, Upstream &upstream)
+{
+    while (!upstream.queue.empty() && mayStart(upstream)) {
+        OfferedCall call = upstream.queue.takeNext();
+        noteWait(upstream, now() - call.arrivedMs);
+        start(id, upstream, std::move(call));
+    }
+}
+
+void UpstreamPort::noteWait(Upstream &upstream, double waitMs)
+{
+    upstream.waitMs += (waitMs - upstream.waitMs) * smoothing;
+    upstream.waitUpdatedMs = now();
+    m_metrics.sample("upstream_wait_ms", waitMs);
+}
+
+double UpstreamPort::pressureOf(const Upstream &upstream) const
+{
+    return upstream.waitMs * std::exp(-(now() - upstream.waitUpdatedMs) / pressureFadeMs);
+}
+
+void UpstreamPort::setReachable(const std::string &id, Upstream &upstream, bool reachable, const std::string &reason)
+{
+    if (upstream.reachable == reachable) {
+        return;
+    }
+    upstream.reachable = reachable;
+    m_log.write(reachable ? Event::UpstreamAnnounced : Event::UpstreamSilent, {{"upstream", id}, {"cause", reason}});
+    onStateChanged();
+}
+
+void UpstreamPort::cancel(std::uint64_t owner, std::uint64_t callId)
+{
+    for (auto &[id, upstream] : m_upstreams) {
+        if (upstream.queue.remove(owner, callId)) {
+            return;
+        }
+        for (const auto &connection : upstream.connections) {
+            const auto &call = connection->call();
+            if (call && call->owner == owner && call->message.callId == callId) {
+                if (call->message.idempotent) {
+                    const auto kept = connection;
+                    kept->close();
+                    upstream.connections.remove(kept);
+                    upstream.active = std::max(0, upstream.active - 1);
+                    upstream.trialRunning = false;
+                    startWaiting(id, upstream);
+                }
+                return;
+            }
+        }
+    }
+}
+
+void UpstreamPort::drain()
+{
+    m_draining = true;
+    onStateChanged();
+}
+
+void UpstreamPort::scheduleSweep()
+{
+    if (m_sweepScheduled) {
+        return;
+    }
+    m_sweepScheduled = true;
+    m_loop.after(static_cast<TimeMs>(sweepPeriodMs), [this] {
+        m_sweepScheduled = false;
+        sweep();
+    });
+}
+
+void UpstreamPort::sweep()
+{
+    bool busy = false;
+    for (auto entry = m_upstreams.begin(); entry != m_upstreams.end();) {
+        Upstream &upstream = entry->second;
+        sweepUpstream(entry->first, upstream);
+        busy = busy || upstream.active > 0 || !upstream.queue.empty();
+        const bool idle = upstream.active == 0 && upstream.queue.empty();
+        entry = idle && now() - upstream.heardAtMs > forgetAfterMs ? m_upstreams.erase(entry) : std::next(entry);
+    }
+    if (busy) {
+        scheduleSweep();
+    }
+}
+
+void UpstreamPort::sweepUpstream(const std::string &id, Upstream &upstream)
+{
+    const double at = now();
+    for (OfferedCall &call : upstream.queue.takeExpired(at)) {
+        noteWait(upstream, at - call.arrivedMs);
+        refuse(std::move(call), "no slot in time");
+    }
+    const double silence = std::max(minSilenceMs, upstream.serviceMs * silenceFactor);
+    const bool silent = at - upstream.heardAtMs > silence;
+    const auto connections = upstream.connections;
+    for (const auto &connection : connections) {
+        if (!connection->call()) {
+            continue;
+        }
+        if (!connection->isConnected() && at - connection->sentAtMs() > connectTimeoutMs) {
+            connection->abandon("connection to the upstream timed out");
+        } else if (at > connection->call()->deadlineMs + deadlineGraceMs) {
+            connection->abandon("time ran out at the upstream");
+        } else if (silent && connection->isSilent() && at - connection->sentAtMs() > silence) {
+            upstream.retryAtMs = at + trialPauseMs;
+            setReachable(id, upstream, false, "no answer");
+            if (connection->call()->message.idempotent) {
+                connection->abandon("upstream silent");
+            }
+        }
+    }
+}
+
+std::vector<UpstreamEntry> UpstreamPort::entries() const
+{
+    std::vector<UpstreamEntry> result;
+    for (const auto &[id, upstream] : m_upstreams) {
+        if (upstream.heardAtMs > 0 && !upstream.departed) {
+            const double coldLeft = std::max(0.0, upstream.info.coldLeftMs - (now() - upstream.heardAtMs));
+            result.push_back({id, upstream.info.service, m_identity.domain, m_identity.peerAddress, stateOf(upstream), upstream.info.slots,
+                              std::round(coldLeft / 1'000) * 1'000});
+        }
+    }
+    return result;
+}
+
+LoadReport UpstreamPort::load() const
+{
+    LoadReport report;
+    for (const auto &[id, upstream] : m_upstreams) {
+        if (stateOf(upstream) == UpstreamState::Ready) {
+            report.busy += upstream.active + static_cast<int>(upstream.queue.size());
+            report.limit += limitOf(upstream);
+            report.pressure = std::max(report.pressure, pressureOf(upstream));
+        }
+    }
+    if (downstreamPressure) {
+        report.pressure = std::max(report.pressure, downstreamPressure());
+    }
+    return report;
+}
+
+std::size_t UpstreamPort::pending() const
+{
+    std::size_t count = 0;
+    for (const auto &[id, upstream] : m_upstreams) {
+        count += static_cast<std::size_t>(upstream.active) + upstream.queue.size();
+    }
+    return count;
+}
+}
--- /dev/null
+++ b/packages/meshnode/upstreamqueue.cpp
@@ -0,0 +1,76 @@
+#include "upstreamqueue.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Yuccagrade::Mesh
+{
+namespace
+{
+// A call of the next lower priority waits this much longer than one that arrived at the same time.
+constexpr double priorityStepMs = 20;
+constexpr int maxPriorityStep = 10;
+// Part of the latency goal that a new request may wait here; a refusal after more than an eighth of the goal is late.
+constexpr double rootWaitShare = 0.1;
+// Part of its time that a nested call may wait: its request has been admitted, and what was done for it would be lost.
+constexpr double nestedWaitShare = 0.5;
+constexpr double minWaitMs = 10;
+}
+
+void setTimeBounds(OfferedCall &call, double nowMs)
+{
+    const CallMessage &message = call.message;
+    const double wait = message.nested ? message.timeLeftMs * nestedWaitShare : std::min(message.latencyGoalMs, message.timeLeftMs) * rootWaitShare;
+    call.arrivedMs = nowMs;
+    call.deadlineMs = nowMs + message.timeLeftMs;
+    call.startByMs = nowMs + std::max(wait, minWaitMs);
+}
+
+void UpstreamQueue::add(OfferedCall call)
+{
+    const int step = call.message.nested ? 0 : std::clamp(call.message.priority, 0, maxPriorityStep);
+    const double place = call.arrivedMs + step * priorityStepMs;
+    m_calls.emplace(place, std::move(call));
+}
+
+OfferedCall UpstreamQueue::takeNext()
+{
+    OfferedCall call = std::move(m_calls.begin()->second);
+    m_calls.erase(m_calls.begin());
+    return call;
+}
+
+std::vector<OfferedCall> UpstreamQueue::takeExpired(double nowMs)
+{
+    std::vector<OfferedCall> expired;
+    for (auto entry = m_calls.begin(); entry != m_calls.end();) {
+        if (entry->second.startByMs <= nowMs) {
+            expired.push_back(std::move(entry->second));
+            entry = m_calls.erase(entry);
+        } else {
+            ++entry;
+        }
+    }
+    return expired;
+}
+
+std::vector<OfferedCall> UpstreamQueue::takeAll()
+{
+    std::vector<OfferedCall> all;
+    for (auto &[place, call] : std::exchange(m_calls, {})) {
+        all.push_back(std::move(call));
+    }
+    return all;
+}
+
+bool UpstreamQueue::remove(std::uint64_t owner, std::uint64_t callId)
+{
+    for (auto entry = m_calls.begin(); entry != m_calls.end(); ++entry) {
+        if (entry->second.owner == owner && entry->second.message.callId == callId) {
+            m_calls.erase(entry);
+            return true;
+        }
+    }
+    return false;
+}
+}
--- a/packages/net/eventloop.cpp
+++ b/packages/net/eventloop.cpp
@@ -1,13 +1,14 @@
 #include "eventloop.h"
 
-#include <ace/Dev_Poll_Reactor.h>
-#include <ace/Event_Handler.h>
-#include <ace/Reactor.h>
-#include <ace/Time_Value.h>
-
 #include <algorithm>
+#include <array>
+#include <cerrno>
 #include <csignal>
 #include <map>
+#include <stdexcept>
+#include <string>
+#include <sys/epoll.h>
+#include <unistd.h>
 #include <unordered_map>
 #include <vector>
 
@@ -15,54 +16,29 @@
 {
 namespace
 {
-// Upper bound of one wait, so that a stop from a signal handler is seen even without events.
+// Upper bound of one wait, so that a signal is seen even without events.
 constexpr TimeMs maxWaitMs = 100;
-// ACE dispatches one descriptor event per call; timers and posted calls get their turn after this many.
+// Timers and posted calls get their turn after this many descriptor events.
 constexpr int maxEventsPerTurn = 64;
-constexpr int maxDescriptors = 8192;
 
 volatile std::sig_atomic_t terminateRequested = 0;
+volatile std::sig_atomic_t hangupRequested = 0;
 
 void requestTerminate(int)
 {
     terminateRequested = 1;
 }
 
-// Handler of one descriptor number. It lives as long as the loop: ACE keeps its pointer when a descriptor was closed
-// before its removal, and would later call a freed handler (seen as crashes of nodes under overload).
-class DescriptorHandler : public ACE_Event_Handler
+void requestHangup(int)
 {
-public:
-    explicit DescriptorHandler(int descriptor)
-        : m_descriptor(descriptor)
-    {
-    }
-    ACE_HANDLE get_handle() const override // NOLINT(readability-identifier-naming): ACE interface
-    {
-        return m_descriptor;
-    }
-    int handle_input(ACE_HANDLE) override // NOLINT(readability-identifier-naming): ACE interface
-    {
-        return dispatch(EventLoop::Readable);
-    }
-    int handle_output(ACE_HANDLE) override // NOLINT(readability-identifier-naming): ACE interface
-    {
-        return dispatch(EventLoop::Writable);
-    }
-    std::function<void(int)> callback; ///< empty while the descriptor is not watched
-    bool registered = false;
-
-private:
-    // Copies the callback, since it may replace itself.
-    int dispatch(int readiness) const
-    {
-        if (const auto current = callback) {
-            current(readiness);
-        }
-        return 0;
-    }
+    hangupRequested = 1;
+}
 
-    int m_descriptor;
+// A watched descriptor. The generation tells an event of an earlier watch of the same descriptor number.
+struct Watch {
+    std::function<void(int)> callback; ///< empty while the descriptor is not watched
+    std::uint32_t generation = 0;
+    std::uint32_t events = 0;
 };
 
 struct Timer {
@@ -71,36 +47,62 @@
     std::function<void()> callback;
 };
 
-ACE_Reactor_Mask reactorMask(int mask)
+std::uint32_t epollMask(int mask)
 {
-    ACE_Reactor_Mask result = 0;
-    result |= (mask & EventLoop::Readable) ? ACE_Event_Handler::READ_MASK : 0;
-    result |= (mask & EventLoop::Writable) ? ACE_Event_Handler::WRITE_MASK : 0;
+    std::uint32_t result = 0;
+    result |= (mask & EventLoop::Readable) ? EPOLLIN : 0;
+    result |= (mask & EventLoop::Writable) ? EPOLLOUT : 0;
     return result;
 }
+
+// Errors and hang-ups are reported as both kinds of readiness; the next read or write tells the error.
+int readinessOf(std::uint32_t events)
+{
+    int result = 0;
+    result |= (events & (EPOLLIN | EPOLLHUP | EPOLLERR)) ? EventLoop::Readable : 0;
+    result |= (events & (EPOLLOUT | EPOLLHUP | EPOLLERR)) ? EventLoop::Writable : 0;
+    return result;
+}
+
+epoll_event eventOf(int descriptor, const Watch &watch)
+{
+    epoll_event event{};
+    event.events = watch.events;
+    event.data.u64 = static_cast<std::uint64_t>(watch.generation) << 32 | static_cast<std::uint32_t>(descriptor);
+    return event;
+}
 }
 
 struct EventLoop::Impl {
     explicit Impl(Clock loopClock)
         : clock(std::move(loopClock))
-        , reactor(new ACE_Dev_Poll_Reactor(maxDescriptors), true)
+        , epoll(::epoll_create1(EPOLL_CLOEXEC))
     {
+        if (epoll < 0) {
+            throw std::runtime_error("cannot create an epoll descriptor: errno " + std::to_string(errno));
+        }
+    }
+    ~Impl()
+    {
+        ::close(epoll);
     }
 
     void runPosted();
     void runTimers();
     void runEvents();
+    void runSignals();
+    void dispatch(const epoll_event &event);
     double waitMs() const;
 
     Clock clock;
-    // Destroyed after the reactor, which calls the handlers that it still knows.
-    std::unordered_map<int, std::unique_ptr<DescriptorHandler>> handlers;
-    ACE_Reactor reactor;
+    int epoll;
+    std::unordered_map<int, Watch> watches;
     std::unordered_map<TimerId, Timer> timers;
     std::multimap<double, TimerId> due;
     TimerId lastTimer = 0;
     std::vector<std::function<void()>> posted;
     std::function<void()> terminate;
+    std::function<void()> hangup;
     bool stopped = false;
 };
 
@@ -110,14 +112,7 @@
     std::signal(SIGPIPE, SIG_IGN);
 }
 
-EventLoop::~EventLoop()
-{
-    for (const auto &[descriptor, handler] : m_impl->handlers) {
-        if (handler->registered) {
-            m_impl->reactor.remove_handler(handler.get(), ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
-        }
-    }
-}
+EventLoop::~EventLoop() = default;
 
 const Clock &EventLoop::clock() const
 {
@@ -133,7 +128,6 @@
     }
 }
 
-// Timers are kept here rather than in ACE's queue, which follows the wall clock and would shift leases with it.
 void EventLoop::Impl::runTimers()
 {
     const double now = clock.preciseMs();
@@ -167,26 +161,44 @@
     return std::max(0.0, wait);
 }
 
+void EventLoop::Impl::dispatch(const epoll_event &event)
+{
+    const auto found = watches.find(static_cast<int>(event.data.u64 & 0xffffffffU));
+    if (found == watches.end() || found->second.generation != event.data.u64 >> 32) {
+        return;
+    }
+    // Copies the callback, since it may replace itself.
+    if (const auto current = found->second.callback) {
+        current(readinessOf(event.events));
+    }
+}
+
+// One wait returns many events: ACE's dev-poll reactor makes a system call for each, and system calls are most of the
+// cost of a forwarded call.
 void EventLoop::Impl::runEvents()
 {
     // epoll counts whole ms; rounding up avoids a busy loop just before a timer is due.
-    const auto wait = static_cast<long>(waitMs() + 0.999);
-    ACE_Time_Value timeout(wait / 1000, static_cast<suseconds_t>((wait % 1000) * 1000));
-    for (int i = 0; i < maxEventsPerTurn; ++i) {
-        if (reactor.handle_events(&timeout) <= 0) {
-            break;
-        }
-        timeout = ACE_Time_Value::zero;
-        if (stopped) {
-            break;
-        }
-        runPosted();
+    std::array<epoll_event, maxEventsPerTurn> events{};
+    const int ready = ::epoll_wait(epoll, events.data(), maxEventsPerTurn, static_cast<int>(waitMs() + 0.999));
+    for (int i = 0; i < ready && !stopped; ++i) {
+        dispatch(events[static_cast<std::size_t>(i)]);
+    }
+}
+
+void EventLoop::Impl::runSignals()
+{
+    if (terminateRequested && terminate) {
+        terminateRequested = 0;
+        terminate();
+    }
+    if (hangupRequested && hangup) {
+        hangupRequested = 0;
+        hangup();
     }
 }
 
 void EventLoop::run()
 {
-    m_impl->reactor.owner(ACE_OS::thr_self());
     m_impl->stopped = false;
     while (!m_impl->stopped) {
         m_impl->runPosted();
@@ -195,10 +207,7 @@
             break;
         }
         m_impl->runEvents();
-        if (terminateRequested && m_impl->terminate) {
-            terminateRequested = 0;
-            m_impl->terminate();
-        }
+        m_impl->runSignals();
     }
 }
 
@@ -246,29 +255,30 @@
 
 void EventLoop::watch(int descriptor, int mask, std::function<void(int)> callback)
 {
-    auto &handler = m_impl->handlers[descriptor];
-    if (!handler) {
-        handler = std::make_unique<DescriptorHandler>(descriptor);
+    Watch &watch = m_impl->watches[descriptor];
+    const std::uint32_t events = epollMask(mask);
+    const bool known = static_cast<bool>(watch.callback);
+    watch.callback = std::move(callback);
+    watch.events = events;
+    if (!known) {
+        ++watch.generation;
     }
-    handler->callback = std::move(callback);
-    // Changing the mask in place saves a system call per request against a removal and a new registration.
-    if (handler->registered && m_impl->reactor.mask_ops(handler.get(), reactorMask(mask), ACE_Reactor::SET_MASK) >= 0) {
-        return;
+    epoll_event event = eventOf(descriptor, watch);
+    // A descriptor that was closed without unwatch() has left the epoll set by itself.
+    if (::epoll_ctl(m_impl->epoll, known ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, descriptor, &event) != 0) {
+        ::epoll_ctl(m_impl->epoll, errno == ENOENT ? EPOLL_CTL_ADD : EPOLL_CTL_MOD, descriptor, &event);
     }
-    m_impl->reactor.remove_handler(handler.get(), ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
-    handler->registered = m_impl->reactor.register_handler(handler.get(), reactorMask(mask)) == 0;
 }
 
 void EventLoop::unwatch(int descriptor)
 {
-    const auto found = m_impl->handlers.find(descriptor);
-    if (found == m_impl->handlers.end() || !found->second->registered) {
+    const auto found = m_impl->watches.find(descriptor);
+    if (found == m_impl->watches.end() || !found->second.callback) {
         return;
     }
-    DescriptorHandler &handler = *found->second;
-    handler.callback = nullptr;
-    handler.registered = false;
-    m_impl->reactor.remove_handler(&handler, ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
+    found->second.callback = nullptr;
+    found->second.events = 0;
+    ::epoll_ctl(m_impl->epoll, EPOLL_CTL_DEL, descriptor, nullptr);
 }
 
 void EventLoop::onTerminate(std::function<void()> callback)
@@ -277,4 +287,10 @@
     std::signal(SIGTERM, requestTerminate);
     std::signal(SIGINT, requestTerminate);
 }
+
+void EventLoop::onHangup(std::function<void()> callback)
+{
+    m_impl->hangup = std::move(callback);
+    std::signal(SIGHUP, requestHangup);
+}
 }
--- a/packages/net/eventloop.h
+++ b/packages/net/eventloop.h
@@ -43,6 +43,8 @@
     void unwatch(int descriptor);
     /// Calls @p callback on the loop after SIGTERM or SIGINT.
     void onTerminate(std::function<void()> callback);
+    /// Calls @p callback on the loop after SIGHUP.
+    void onHangup(std::function<void()> callback);
 
 private:
     struct Impl;
--- /dev/null
+++ b/packages/net/httpport.cpp
@@ -0,0 +1,268 @@
+#include "httpport.h"
+
+#include <utility>
+
+namespace Yuccagrade
+{
+namespace
+{
+// Requests of one connection that are read before the first is answered.
+constexpr std::size_t maxPipelined = 32;
+constexpr TimeMs checkPeriodMs = 500;
+// Unread response bytes of a client that does not read; more ends the connection.
+constexpr std::size_t maxUnsentBytes = 4U << 20U;
+
+std::string errorHead(HttpReader::State state)
+{
+    switch (state) {
+    case HttpReader::State::HeaderTooLarge:
+        return responseHead(431);
+    case HttpReader::State::BodyTooLarge:
+        return responseHead(413);
+    default:
+        return responseHead(400);
+    }
+}
+}
+
+std::string responseHead(int status, const std::vector<HttpMessage::Field> &fields)
+{
+    std::string head = "HTTP/1.1 " + std::to_string(status) + ' ' + std::string(reasonPhrase(status)) + "\r\n";
+    for (const auto &[name, value] : fields) {
+        head += name + ": " + value + "\r\n";
+    }
+    return head;
+}
+
+/// One connection of an HttpPort.
+class HttpPortConnection : public std::enable_shared_from_this<HttpPortConnection>
+{
+public:
+    HttpPortConnection(HttpPort &port, std::shared_ptr<TcpStream> stream)
+        : m_port(port)
+        , m_stream(std::move(stream))
+        , m_reader(HttpReader::Kind::Request, port.m_limits)
+        , m_activeAt(now())
+    {
+    }
+
+    void start()
+    {
+        m_stream->onData = [this](std::string_view data) {
+            const auto self = shared_from_this();
+            read(data);
+        };
+        m_stream->onClosed = [this](bool) {
+            const auto self = shared_from_this();
+            gone();
+        };
+    }
+
+    void answerReady()
+    {
+        while (!m_exchanges.empty() && m_exchanges.front()->m_ready) {
+            const auto exchange = m_exchanges.front();
+            m_exchanges.pop_front();
+            m_activeAt = now();
+            // With later requests already read, only the last response of the connection says that it closes.
+            const bool last = m_exchanges.empty() && (exchange->m_close || m_ending || m_port.m_closing);
+            m_stream->write(exchange->m_response);
+            m_stream->write(last ? "Connection: close\r\n\r\n" : "\r\n");
+            if (exchange->m_request.method != "HEAD") {
+                m_stream->write(exchange->m_body);
+            }
+            if (last) {
+                finish();
+                return;
+            }
+        }
+        if (m_stream->unsent() > maxUnsentBytes) {
+            gone();
+            return;
+        }
+        if (m_exchanges.size() < maxPipelined && !m_held.empty()) {
+            const std::string held = std::exchange(m_held, {});
+            read(held);
+        }
+    }
+
+    void checkTimes(const HttpPortTimes &times)
+    {
+        const TimeMs quiet = now() - m_activeAt;
+        if (!m_exchanges.empty()) {
+            return;
+        }
+        if (m_reader.state() == HttpReader::State::Idle ? quiet > times.idleMs : now() - m_startedAt > times.headerMs + times.idleMs) {
+            finish();
+        }
+    }
+
+    bool isIdle() const
+    {
+        return m_exchanges.empty() && m_reader.state() == HttpReader::State::Idle && m_held.empty();
+    }
+    std::size_t pending() const
+    {
+        return m_exchanges.size();
+    }
+    void finish()
+    {
+        m_stream->closeAfterWrites();
+        remove();
+    }
+
+private:
+    friend class HttpPort;
+
+    TimeMs now() const
+    {
+        return m_port.m_loop.clock().now();
+    }
+
+    void read(std::string_view data)
+    {
+        m_activeAt = now();
+        while (!data.empty() && !m_ending && m_stream->isOpen()) {
+            if (m_exchanges.size() >= maxPipelined) {
+                m_held.append(data);
+                return;
+            }
+            if (m_reader.state() == HttpReader::State::Idle) {
+                m_startedAt = m_activeAt;
+            }
+            data.remove_prefix(m_reader.read(data));
+            if (m_reader.state() == HttpReader::State::Reading) {
+                continue;
+            }
+            accept();
+        }
+    }
+
+    void accept()
+    {
+        const auto exchange = std::make_shared<PortExchange>();
+        exchange->m_connection = weak_from_this();
+        m_exchanges.push_back(exchange);
+        if (m_reader.state() != HttpReader::State::Complete) {
+            m_ending = true;
+            exchange->respond(errorHead(m_reader.state()), {}, true);
+            return;
+        }
+        exchange->m_request = m_reader.take();
+        m_reader.setLimits(m_port.m_limits);
+        m_ending = !exchange->m_request.keepAlive;
+        m_port.m_handler(exchange);
+    }
+
+    void gone()
+    {
+        m_stream->close();
+        const auto exchanges = std::exchange(m_exchanges, {});
+        remove();
+        for (const auto &exchange : exchanges) {
+            if (!exchange->m_ready) {
+                exchange->m_gone = true;
+                if (const auto hook = exchange->onGone) {
+                    hook();
+                }
+            }
+        }
+    }
+
+    void remove()
+    {
+        m_ending = true;
+        m_port.m_connections.erase(shared_from_this());
+    }
+
+    HttpPort &m_port;
+    std::shared_ptr<TcpStream> m_stream;
+    HttpReader m_reader;
+    std::deque<std::shared_ptr<PortExchange>> m_exchanges;
+    std::string m_held; ///< bytes behind the last request that may be read now
+    TimeMs m_activeAt;
+    TimeMs m_startedAt = 0; ///< first byte of the request that is being read
+    bool m_ending = false; ///< no further request is read
+};
+
+void PortExchange::respond(std::string head, std::string body, bool closeConnection)
+{
+    if (isFinished()) {
+        return;
+    }
+    m_ready = true;
+    m_close = closeConnection;
+    m_response = std::move(head) + "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    m_body = std::move(body);
+    if (const auto connection = m_connection.lock()) {
+        connection->answerReady();
+    }
+}
+
+HttpPort::HttpPort(EventLoop &loop, Handler handler)
+    : m_loop(loop)
+    , m_handler(std::move(handler))
+    , m_listener(loop,
+                 [this](std::shared_ptr<TcpStream> stream) {
+                     const auto connection = std::make_shared<HttpPortConnection>(*this, std::move(stream));
+                     m_connections.insert(connection);
+                     connection->start();
+                 })
+{
+    m_timer = loop.every(checkPeriodMs, [this] {
+        checkTimes();
+    });
+}
+
+HttpPort::~HttpPort()
+{
+    m_loop.cancel(m_timer);
+    for (const auto &connection : std::exchange(m_connections, {})) {
+        connection->m_stream->close();
+    }
+}
+
+std::error_code HttpPort::listen(const std::string &address)
+{
+    return m_listener.listen(address);
+}
+
+void HttpPort::setLimits(HttpReaderLimits limits, HttpPortTimes times)
+{
+    m_limits = limits;
+    m_times = times;
+}
+
+void HttpPort::closeAfterResponses()
+{
+    m_closing = true;
+}
+
+void HttpPort::stopListening()
+{
+    m_listener.stop();
+    const auto connections = m_connections;
+    for (const auto &connection : connections) {
+        if (connection->isIdle()) {
+            connection->finish();
+        }
+    }
+}
+
+std::size_t HttpPort::pending() const
+{
+    std::size_t count = 0;
+    for (const auto &connection : m_connections) {
+        count += connection->pending();
+    }
+    return count;
+}
+
+void HttpPort::checkTimes()
+{
+    const auto connections = m_connections;
+    for (const auto &connection : connections) {
+        connection->checkTimes(m_times);
+    }
+}
+}
--- /dev/null
+++ b/packages/net/httpport.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "httpreader.h"
+#include "tcp.h"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace Yuccagrade
+{
+class HttpPort;
+class HttpPortConnection;
+
+/// One request at an HttpPort. The handler keeps the shared pointer until it has responded.
+class PortExchange
+{
+public:
+    const HttpMessage &request() const
+    {
+        return m_request;
+    }
+    /// Sends a response: status line and header lines without length and connection fields, each ended by CRLF.
+    /// Later calls and calls after the client left are ignored.
+    void respond(std::string head, std::string body, bool closeConnection = false);
+    /// True once the response was handed over or the client left.
+    bool isFinished() const
+    {
+        return m_ready || m_gone;
+    }
+    /// Runs if the client closes the connection before the response.
+    std::function<void()> onGone;
+
+private:
+    friend class HttpPortConnection;
+
+    HttpMessage m_request;
+    std::weak_ptr<HttpPortConnection> m_connection;
+    std::string m_response; ///< status line and header
+    std::string m_body;
+    bool m_ready = false;
+    bool m_gone = false;
+    bool m_close = false;
+};
+
+/// Returns a status line and the field lines of a response for PortExchange::respond().
+std::string responseHead(int status, const std::vector<HttpMessage::Field> &fields = {});
+
+/// Time limits of the connections of an HttpPort.
+struct HttpPortTimes {
+    TimeMs headerMs = 3'000; ///< from the first byte of a request to its end
+    TimeMs idleMs = 15'000; ///< between requests
+};
+
+/// An HTTP/1.1 listener that reads pipelined requests while earlier ones run, answers in order, and notices clients that
+/// leave while their request runs.
+class HttpPort
+{
+public:
+    using Handler = std::function<void(const std::shared_ptr<PortExchange> &)>;
+
+    HttpPort(EventLoop &loop, Handler handler);
+    ~HttpPort();
+    HttpPort(const HttpPort &) = delete;
+    HttpPort &operator=(const HttpPort &) = delete;
+
+    /// Listens on "ip:port". Errors: Malformed, Unavailable.
+    std::error_code listen(const std::string &address);
+    const std::string &address() const
+    {
+        return m_listener.address();
+    }
+    void setLimits(HttpReaderLimits limits, HttpPortTimes times);
+    /// From now on each response ends its connection.
+    void closeAfterResponses();
+    /// Closes connections without a request and the listening socket.
+    void stopListening();
+    std::size_t connections() const
+    {
+        return m_connections.size();
+    }
+    /// Requests that were read and not answered.
+    std::size_t pending() const;
+
+private:
+    friend class HttpPortConnection;
+    void checkTimes();
+
+    EventLoop &m_loop;
+    Handler m_handler;
+    TcpListener m_listener;
+    HttpReaderLimits m_limits;
+    HttpPortTimes m_times;
+    std::set<std::shared_ptr<HttpPortConnection>> m_connections;
+    TimerId m_timer = 0;
+    bool m_closing = false;
+};
+}
--- /dev/null
+++ b/packages/net/httpreader.cpp
@@ -0,0 +1,202 @@
+#include "httpreader.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <strings.h>
+
+namespace Yuccagrade
+{
+namespace
+{
+constexpr std::array<std::string_view, 8> connectionFields{"connection", "keep-alive", "proxy-connection", "te",
+                                                           "trailer",    "upgrade",    "transfer-encoding", "content-length"};
+
+HttpReader &readerOf(http_parser *parser)
+{
+    return *static_cast<HttpReader *>(parser->data);
+}
+
+// The parser accepts obsolete line folding; a folded value would be sent on as two lines.
+bool isCleanValue(std::string_view value)
+{
+    return std::none_of(value.begin(), value.end(), [](char c) {
+        return c == '\r' || c == '\n' || c == '\0';
+    });
+}
+}
+
+struct HttpReaderCallbacks {
+    static int onTarget(http_parser *parser, const char *at, std::size_t length)
+    {
+        readerOf(parser).m_message.target.append(at, length);
+        return 0;
+    }
+    static int onReason(http_parser *parser, const char *at, std::size_t length)
+    {
+        readerOf(parser).m_message.reason.append(at, length);
+        return 0;
+    }
+    static int onName(http_parser *parser, const char *at, std::size_t length)
+    {
+        HttpReader &reader = readerOf(parser);
+        auto &fields = reader.m_message.fields;
+        if (fields.empty() || reader.m_inValue) {
+            fields.emplace_back();
+            reader.m_inValue = false;
+        }
+        fields.back().first.append(at, length);
+        return 0;
+    }
+    static int onValue(http_parser *parser, const char *at, std::size_t length)
+    {
+        HttpReader &reader = readerOf(parser);
+        reader.m_inValue = true;
+        // Trailer fields of a chunked body come without a preceding name only if the message is malformed.
+        if (reader.m_message.fields.empty()) {
+            return 1;
+        }
+        reader.m_message.fields.back().second.append(at, length);
+        return 0;
+    }
+    static int onHeader(http_parser *parser)
+    {
+        HttpReader &reader = readerOf(parser);
+        HttpMessage &message = reader.m_message;
+        for (const auto &[name, value] : message.fields) {
+            if (name.empty() || !isCleanValue(value)) {
+                return -1;
+            }
+        }
+        message.status = static_cast<int>(parser->status_code);
+        if (reader.m_kind == HttpReader::Kind::Request) {
+            message.method = http_method_str(static_cast<http_method>(parser->method));
+        }
+        message.keepAlive = http_should_keep_alive(parser) != 0;
+        const bool bodyless = message.status / 100 == 1 || message.status == 204 || message.status == 304 || reader.m_noBody;
+        message.untilClose =
+            reader.m_kind == HttpReader::Kind::Response && !bodyless && (parser->flags & (F_CHUNKED | F_CONTENTLENGTH)) == 0;
+        reader.m_headerComplete = true;
+        if ((parser->flags & F_CONTENTLENGTH) != 0 && parser->content_length > reader.m_limits.maxBodyBytes) {
+            reader.m_state = HttpReader::State::BodyTooLarge;
+            return -1;
+        }
+        return reader.m_noBody ? 1 : 0;
+    }
+    static int onBody(http_parser *parser, const char *at, std::size_t length)
+    {
+        HttpReader &reader = readerOf(parser);
+        if (reader.m_message.body.size() + length > reader.m_limits.maxBodyBytes) {
+            reader.m_state = HttpReader::State::BodyTooLarge;
+            return 1;
+        }
+        reader.m_message.body.append(at, length);
+        return 0;
+    }
+    static int onComplete(http_parser *parser)
+    {
+        readerOf(parser).m_state = HttpReader::State::Complete;
+        http_parser_pause(parser, 1);
+        return 0;
+    }
+    static const http_parser_settings &settings()
+    {
+        static const http_parser_settings table = [] {
+            http_parser_settings settings;
+            http_parser_settings_init(&settings);
+            settings.on_url = onTarget;
+            settings.on_status = onReason;
+            settings.on_header_field = onName;
+            settings.on_header_value = onValue;
+            settings.on_headers_complete = onHeader;
+            settings.on_body = onBody;
+            settings.on_message_complete = onComplete;
+            return settings;
+        }();
+        return table;
+    }
+};
+
+const std::string *HttpMessage::field(std::string_view name) const
+{
+    for (const Field &candidate : fields) {
+        if (equalFieldNames(candidate.first, name)) {
+            return &candidate.second;
+        }
+    }
+    return nullptr;
+}
+
+bool equalFieldNames(std::string_view a, std::string_view b)
+{
+    return a.size() == b.size() && ::strncasecmp(a.data(), b.data(), a.size()) == 0;
+}
+
+bool isConnectionField(std::string_view name)
+{
+    return std::any_of(connectionFields.begin(), connectionFields.end(), [name](std::string_view field) {
+        return equalFieldNames(field, name);
+    });
+}
+
+std::string_view reasonPhrase(int status)
+{
+    return http_status_str(static_cast<http_status>(status));
+}
+
+HttpReader::HttpReader(Kind kind, HttpReaderLimits limits)
+    : m_kind(kind)
+    , m_limits(limits)
+{
+    restart();
+}
+
+void HttpReader::restart()
+{
+    http_parser_init(&m_parser, m_kind == Kind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
+    m_parser.data = this;
+    m_message = HttpMessage();
+    m_state = State::Idle;
+    m_headerBytes = 0;
+    m_headerComplete = false;
+    m_inValue = false;
+}
+
+std::size_t HttpReader::read(std::string_view data)
+{
+    if (data.empty() || (m_state != State::Idle && m_state != State::Reading)) {
+        return 0;
+    }
+    m_state = State::Reading;
+    m_parser.data = this;
+    const std::size_t used = http_parser_execute(&m_parser, &HttpReaderCallbacks::settings(), data.data(), data.size());
+    if (!m_headerComplete) {
+        m_headerBytes += used;
+    }
+    const auto error = HTTP_PARSER_ERRNO(&m_parser);
+    if (m_state == State::Reading && m_headerBytes > m_limits.maxHeaderBytes) {
+        m_state = State::HeaderTooLarge;
+    } else if (m_state == State::Reading && error != HPE_OK) {
+        m_state = error == HPE_HEADER_OVERFLOW ? State::HeaderTooLarge : State::Malformed;
+    }
+    return used;
+}
+
+void HttpReader::readEnd()
+{
+    if (m_state == State::Reading) {
+        m_parser.data = this;
+        http_parser_execute(&m_parser, &HttpReaderCallbacks::settings(), nullptr, 0);
+    }
+    if (m_state == State::Reading) {
+        m_state = State::Malformed;
+    }
+}
+
+HttpMessage HttpReader::take()
+{
+    HttpMessage message = std::move(m_message);
+    restart();
+    return message;
+}
+}
--- /dev/null
+++ b/packages/net/httpreader.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <cstdint>
+#include <http_parser.h>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace Yuccagrade
+{
+/// One HTTP/1.1 message with its fields in the order of arrival.
+struct HttpMessage {
+    using Field = std::pair<std::string, std::string>;
+
+    std::string method; ///< of a request
+    std::string target; ///< of a request: path with query, unchanged
+    int status = 0; ///< of a response
+    std::string reason; ///< of a response
+    std::vector<Field> fields;
+    std::string body; ///< without transfer coding
+    bool keepAlive = true;
+    bool untilClose = false; ///< response without a length, which ends with its connection
+
+    /// Returns the value of the first field @p name (any case), or null.
+    const std::string *field(std::string_view name) const;
+};
+
+/// Compares field names without regard to case.
+bool equalFieldNames(std::string_view a, std::string_view b);
+/// True for fields that concern one connection only and are not forwarded.
+bool isConnectionField(std::string_view name);
+/// Returns the customary reason phrase of @p status.
+std::string_view reasonPhrase(int status);
+
+/// Size limits of a message.
+struct HttpReaderLimits {
+    std::size_t maxHeaderBytes = 16'384;
+    std::size_t maxBodyBytes = 67'108'864;
+};
+
+/// Reads HTTP/1.1 messages from a byte stream, one at a time.
+class HttpReader
+{
+public:
+    enum class Kind { Request, Response };
+    enum class State {
+        Idle, ///< no byte of the next message was read
+        Reading,
+        Complete,
+        Malformed,
+        HeaderTooLarge,
+        BodyTooLarge,
+    };
+
+    explicit HttpReader(Kind kind, HttpReaderLimits limits = {});
+
+    /// Reads up to the end of the present message and returns the number of bytes used.
+    std::size_t read(std::string_view data);
+    /// Tells a response reader that the connection ended; completes a response without a length.
+    void readEnd();
+    State state() const
+    {
+        return m_state;
+    }
+    /// True from the end of the header on.
+    bool headerComplete() const
+    {
+        return m_headerComplete;
+    }
+    /// Returns the complete message and starts over.
+    HttpMessage take();
+    /// The next response answers a HEAD request and has no body.
+    void expectNoBody(bool expected)
+    {
+        m_noBody = expected;
+    }
+    void setLimits(HttpReaderLimits limits)
+    {
+        m_limits = limits;
+    }
+
+private:
+    friend struct HttpReaderCallbacks;
+    void restart();
+
+    Kind m_kind;
+    HttpReaderLimits m_limits;
+    http_parser m_parser{};
+    HttpMessage m_message;
+    State m_state = State::Idle;
+    std::size_t m_headerBytes = 0;
+    bool m_headerComplete = false;
+    bool m_inValue = false;
+    bool m_noBody = false;
+};
+}
