Count the teams' tokens at the leader; prefer upstreams of the own domain; copy the group before changing it

Nodes now ask the leader for tokens and hold a quarter second of demand in advance; a share is used only while no leader answers. A control host crashed with bad_alloc when a host with a new disk was admitted: the list of members was replaced while it was read.

--- a/packages/mesh/messages.cpp
+++ b/packages/mesh/messages.cpp
@@ -45,11 +45,19 @@
 }
 auto fields(Is<TeamDemand> auto &m)
 {
-    return std::tie(m.team, m.perS, m.share);
+    return std::tie(m.team, m.perS, m.held, m.returned);
 }
 auto fields(Is<TeamShare> auto &m)
 {
-    return std::tie(m.team, m.share);
+    return std::tie(m.team, m.share, m.tokens);
+}
+auto fields(Is<TokenRequest> auto &m)
+{
+    return std::tie(m.team, m.wanted);
+}
+auto fields(Is<TokenGrant> auto &m)
+{
+    return std::tie(m.team, m.granted, m.waitMs);
 }
 auto fields(Is<SyncMessage> auto &m)
 {
@@ -204,6 +212,16 @@
     return pack(message);
 }
 
+std::string encode(const TokenRequest &message)
+{
+    return pack(message);
+}
+
+std::string encode(const TokenGrant &message)
+{
+    return pack(message);
+}
+
 bool decode(std::string_view text, CallMessage &message)
 {
     return unpack(text, message);
@@ -238,4 +256,14 @@
 {
     return unpack(text, message);
 }
+
+bool decode(std::string_view text, TokenRequest &message)
+{
+    return unpack(text, message);
+}
+
+bool decode(std::string_view text, TokenGrant &message)
+{
+    return unpack(text, message);
+}
 }
--- a/packages/mesh/messages.h
+++ b/packages/mesh/messages.h
@@ -21,6 +21,8 @@
     Ping,
     Pong,
     Status,
+    TokenRequest,
+    TokenGrant,
 };
 
 /// How busy an upstream and what it calls are, as the node beside it knows.
@@ -97,13 +99,27 @@
 struct TeamDemand {
     std::string team;
     double perS = 0; ///< smoothed requests per second
-    double share = 0; ///< part of the team's rate that the node uses
+    double held = 0; ///< tokens granted and not yet used
+    double returned = 0; ///< tokens that the node gives back
 };
 
-/// Part of a team's rate that a node may use.
+/// What a node may use of a team's rate.
 struct TeamShare {
     std::string team;
-    double share = 0;
+    double share = 0; ///< part of the rate that it may use by itself while no leader answers
+    double tokens = 0; ///< requests granted in advance
+};
+
+/// A node has no token left for a request of a team.
+struct TokenRequest {
+    std::string team;
+    int wanted = 0;
+};
+
+struct TokenGrant {
+    std::string team;
+    int granted = 0;
+    double waitMs = 0; ///< time to the next token if none was granted
 };
 
 /// Report of a process to the leading control host.
@@ -152,6 +168,8 @@
 std::string encode(const SyncMessage &message);
 std::string encode(const SyncReplyMessage &message);
 std::string encode(const ConsensusMessage &message);
+std::string encode(const TokenRequest &message);
+std::string encode(const TokenGrant &message);
 bool decode(std::string_view text, CallMessage &message);
 bool decode(std::string_view text, ReplyMessage &message);
 bool decode(std::string_view text, CancelMessage &message);
@@ -159,4 +177,6 @@
 bool decode(std::string_view text, SyncMessage &message);
 bool decode(std::string_view text, SyncReplyMessage &message);
 bool decode(std::string_view text, ConsensusMessage &message);
+bool decode(std::string_view text, TokenRequest &message);
+bool decode(std::string_view text, TokenGrant &message);
 }
--- a/packages/meshcontrol/controlgroup.cpp
+++ b/packages/meshcontrol/controlgroup.cpp
@@ -206,7 +206,8 @@
 void ControlGroup::manage()
 {
     const TimeMs now = m_loop.clock().now();
-    const auto &members = m_replica->core()->log().members();
+    // A copy: a change of the group replaces the list of the log.
+    const std::vector<GroupMember> members = m_replica->core()->log().members();
     const auto target = static_cast<std::size_t>(2 * m_settings.terms.toleratedHosts + 1);
     const auto ignore = [](std::error_code, std::uint64_t) { };
     std::size_t live = 0;
--- a/packages/meshcontrol/fleetregistry.cpp
+++ b/packages/meshcontrol/fleetregistry.cpp
@@ -1,6 +1,7 @@
 #include "fleetregistry.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace Yuccagrade::Mesh
@@ -14,21 +15,26 @@
 // Part of an equal division that a node gets without demand, so that its first requests are not refused.
 constexpr double idlePart = 0.15;
 constexpr double minDemandPerS = 0.01;
+// Tokens are granted in advance for this time; a node with less demand asks for each request.
+constexpr double prefetchS = 0.25;
+// No tokens are granted in advance from a bucket below this part of the burst: they could be missing elsewhere.
+constexpr double prefetchLevel = 0.3;
+constexpr double msPerSecond = 1'000;
 }
 
 bool FleetRegistry::report(const SyncMessage &message, TimeMs now)
 {
     Node &node = m_nodes[message.peerAddress];
     const bool changed = node.heardAt == 0 || node.upstreams != message.upstreams;
-    if (node.heardAt == 0) {
-        for (const TeamDemand &demand : message.demand) {
-            node.teams[demand.team].share = demand.share;
-        }
-    }
     node.heardAt = now;
     node.upstreams = message.upstreams;
     for (const TeamDemand &demand : message.demand) {
-        node.teams[demand.team].perS = demand.perS;
+        TeamPart &part = node.teams[demand.team];
+        part.perS = demand.perS;
+        part.held = demand.held;
+        if (Bucket *bucket = refill(demand.team, now)) {
+            bucket->level += demand.returned;
+        }
     }
     return changed;
 }
@@ -72,6 +78,7 @@
                 present += 1;
             }
         }
+        m_buckets[team].reserved = 1 - available;
         const double idle = present > 0 ? std::max(minDemandPerS, demand * idlePart / present) : 0;
         for (auto &[address, node] : m_nodes) {
             if (now - node.heardAt <= demandValidMs) {
@@ -82,15 +89,57 @@
     }
 }
 
-std::vector<TeamShare> FleetRegistry::shares(const std::string &peerAddress) const
+void FleetRegistry::setConfig(std::shared_ptr<const FleetConfig> config)
+{
+    m_config = std::move(config);
+}
+
+// Returns null for a team without a limit.
+FleetRegistry::Bucket *FleetRegistry::refill(const std::string &name, TimeMs now)
+{
+    const Team *team = m_config ? m_config->team(name) : nullptr;
+    if (!team || team->ratePerS <= 0) {
+        return nullptr;
+    }
+    Bucket &bucket = m_buckets[name];
+    const double elapsedMs = bucket.updatedAt == 0 ? 0 : static_cast<double>(now - bucket.updatedAt);
+    const double rate = team->ratePerS * std::max(0.0, 1 - bucket.reserved);
+    bucket.level = std::min(std::max(team->burst, 1.0), bucket.level + elapsedMs * rate / msPerSecond);
+    bucket.updatedAt = now;
+    return &bucket;
+}
+
+std::vector<TeamShare> FleetRegistry::shares(const std::string &peerAddress, TimeMs now)
 {
     std::vector<TeamShare> result;
     const auto found = m_nodes.find(peerAddress);
-    if (found != m_nodes.end()) {
-        for (const auto &[team, part] : found->second.teams) {
-            result.push_back({team, part.share});
+    if (found == m_nodes.end()) {
+        return result;
+    }
+    for (auto &[name, part] : found->second.teams) {
+        TeamShare share{name, part.share, 0};
+        Bucket *bucket = refill(name, now);
+        const double wanted = std::floor(part.perS * prefetchS - part.held);
+        if (bucket && wanted > 0 && bucket->level - wanted > m_config->team(name)->burst * prefetchLevel) {
+            bucket->level -= wanted;
+            part.held += wanted;
+            share.tokens = wanted;
         }
+        result.push_back(share);
     }
     return result;
 }
+
+TokenGrant FleetRegistry::grant(const TokenRequest &request, TimeMs now)
+{
+    TokenGrant grant{request.team, request.wanted, 0};
+    if (Bucket *bucket = refill(request.team, now)) {
+        grant.granted = std::clamp(static_cast<int>(bucket->level), 0, request.wanted);
+        bucket->level -= grant.granted;
+        if (grant.granted == 0) {
+            grant.waitMs = (1 - bucket->level) * msPerSecond / m_config->team(request.team)->ratePerS;
+        }
+    }
+    return grant;
+}
 }
--- a/packages/meshcontrol/fleetregistry.h
+++ b/packages/meshcontrol/fleetregistry.h
@@ -1,15 +1,17 @@
 #pragma once
 
+#include "mesh/fleetconfig.h"
 #include "mesh/messages.h"
 
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
 namespace Yuccagrade::Mesh
 {
-/// What the leader knows of the nodes: their upstreams, and how the teams' rates are divided among them. It starts empty
-/// with each term and fills with the first reports.
+/// What the leader knows of the nodes and grants to them: their upstreams, and the tokens of the teams' rates. It starts
+/// empty with each term, so that no token of a former leader is granted twice, and fills with the first reports.
 class FleetRegistry
 {
 public:
@@ -21,8 +23,11 @@
     /// Divides each team's rate by demand; call it before shares(). Shares of silent nodes stay reserved until they are
     /// certain to have ended, so that the sum never exceeds the whole.
     void divide(TimeMs now);
-    /// Returns the shares of a node.
-    std::vector<TeamShare> shares(const std::string &peerAddress) const;
+    void setConfig(std::shared_ptr<const FleetConfig> config);
+    /// Returns the shares of a node, and grants tokens for the demand until its next report.
+    std::vector<TeamShare> shares(const std::string &peerAddress, TimeMs now);
+    /// Grants tokens that a node asks for.
+    TokenGrant grant(const TokenRequest &request, TimeMs now);
     std::size_t nodes() const
     {
         return m_nodes.size();
@@ -32,12 +37,21 @@
     struct TeamPart {
         double perS = 0;
         double share = 0;
+        double held = 0;
     };
+    struct Bucket {
+        double level = 0;
+        TimeMs updatedAt = 0;
+        double reserved = 0; ///< part of the rate that silent nodes may use by themselves
+    };
+    Bucket *refill(const std::string &team, TimeMs now);
     struct Node {
         TimeMs heardAt = 0;
         std::vector<UpstreamEntry> upstreams;
         std::map<std::string, TeamPart> teams;
     };
     std::map<std::string, Node> m_nodes; ///< by peer address
+    std::map<std::string, Bucket> m_buckets; ///< by team
+    std::shared_ptr<const FleetConfig> m_config;
 };
 }
--- a/packages/meshcontrol/meshcontrol.cpp
+++ b/packages/meshcontrol/meshcontrol.cpp
@@ -60,6 +60,7 @@
     void submitted(const ExchangePtr &exchange, const Submission &submission, std::error_code error, std::uint64_t index);
     void answerSubmission(const ExchangePtr &exchange, const Submission &submission, SubmissionResult result);
     void answerMetrics(const ExchangePtr &exchange);
+    void loadRates();
     std::string leaderAddress() const;
 
     MeshSettings m_settings;
@@ -126,6 +127,7 @@
         }
         if (result == SubmissionResult::Accepted) {
             m_log.write(Event::ManifestAccepted, {{"index", std::to_string(index)}, {"version", std::to_string(submission.version)}});
+            loadRates();
             schedulePush();
         }
     };
@@ -141,6 +143,7 @@
         m_leads = leads;
         m_leadsSince = m_loop.clock().now();
         m_registry = FleetRegistry();
+        loadRates();
         m_results.clear();
     };
 }
@@ -211,6 +214,15 @@
             synced(linkId, message);
             return;
         }
+    } else if (type == FrameType::TokenRequest) {
+        TokenRequest request;
+        if (decode(payload, request)) {
+            // A host that does not lead grants nothing, and says nothing: the node turns to the leader by itself.
+            if (m_leads && m_group.replica().isReady()) {
+                link->send(FrameType::TokenGrant, encode(m_registry.grant(request, m_loop.clock().now())));
+            }
+            return;
+        }
     } else if (type == FrameType::ConsensusRequest) {
         ConsensusMessage request;
         ConsensusMessage response;
@@ -303,6 +315,18 @@
     session.link->send(FrameType::SyncReply, encode(reply));
 }
 
+// The leader needs the teams' rates.
+void ControlHost::loadRates()
+{
+    if (!m_leads || m_store.index() == 0) {
+        return;
+    }
+    const auto config = std::make_shared<FleetConfig>();
+    Findings findings;
+    m_dialect.readDocument(m_store.document(), *config, findings);
+    m_registry.setConfig(config);
+}
+
 SyncReplyMessage ControlHost::replyFor(Session &session)
 {
     SyncReplyMessage reply;
@@ -329,7 +353,7 @@
         session.directoryTerm = term;
     }
     reply.controlHosts = m_group.hosts();
-    reply.shares = m_registry.shares(session.peerAddress);
+    reply.shares = m_registry.shares(session.peerAddress, m_loop.clock().now());
     return reply;
 }
 
--- a/packages/meshnode/callbroker.cpp
+++ b/packages/meshnode/callbroker.cpp
@@ -21,6 +21,11 @@
 constexpr double retryAfterSpreadMs = 400;
 constexpr double isolatedRetryAfterMs = 1'000;
 constexpr int firstServerError = 500;
+// A request waits this long for the leader to grant a token, and is checked this often.
+constexpr double parkedMaxMs = 60;
+constexpr TimeMs parkCheckMs = 20;
+// After a leader that did not answer, the node's share is used for this time before the leader is asked again.
+constexpr double sharesFallbackMs = 500;
 }
 
 CallBroker::CallBroker(EventLoop &loop,
@@ -75,8 +80,12 @@
         refuse(*call, 404, -1, Event::RouteUnknown, "no route for host and path");
         return;
     }
+    const double callerMs = request.timeLeftMs.value_or(defaultTimeMs) - answerMarginMs;
+    const auto routeMs = static_cast<double>(call->route->timeoutMs);
+    call->endsAtRouteLimit = routeMs < callerMs;
+    call->deadlineMs = call->arrivedMs + std::min(callerMs, routeMs);
     if (authorize(*call, request) && admit(*call)) {
-        begin(call, request);
+        meter(call);
     }
 }
 
@@ -98,14 +107,80 @@
         return false;
     }
     call.team = team->name;
+    call.meteredTeam = team;
     call.priority = team->priority.value_or(call.priority);
-    if (!m_meter.tryTake(*team, call.arrivedMs)) {
-        refuse(call, 429, std::max(minRetryAfterMs, m_meter.waitMs(*team, call.arrivedMs)), Event::TeamOverRate, "team over its rate");
-        return false;
-    }
     return true;
 }
 
+// Takes a token of the team, or waits for the leader to grant one.
+void CallBroker::meter(const CallPtr &call)
+{
+    const auto result = call->meteredTeam ? m_meter.tryTake(*call->meteredTeam, now()) : TeamMeter::Result::Taken;
+    if (result == TeamMeter::Result::Taken) {
+        begin(call);
+    } else if (result == TeamMeter::Result::Refused) {
+        refuseOverRate(call);
+    } else {
+        call->parkedMs = now();
+        m_parked[call->team].push_back(call);
+        if (!m_parkedCheckScheduled) {
+            m_parkedCheckScheduled = true;
+            m_loop.after(parkCheckMs, [this] {
+                expireParked();
+            });
+        }
+    }
+}
+
+void CallBroker::refuseOverRate(const CallPtr &call)
+{
+    refuse(*call, 429, m_meter.retryAfterMs(*call->meteredTeam, now()), Event::TeamOverRate, "team over its rate");
+}
+
+void CallBroker::tokensGranted(const TokenGrant &grant)
+{
+    m_meter.granted(grant, now());
+    auto &parked = m_parked[grant.team];
+    if (parked.empty()) {
+        return;
+    }
+    const CallPtr call = parked.front();
+    parked.pop_front();
+    if (call->exchange->isFinished()) {
+        return;
+    }
+    if (grant.granted > 0 && m_meter.tryTake(*call->meteredTeam, now()) == TeamMeter::Result::Taken) {
+        begin(call);
+    } else {
+        refuseOverRate(call);
+    }
+}
+
+// The leader did not answer: the node's own share decides.
+void CallBroker::expireParked()
+{
+    m_parkedCheckScheduled = false;
+    const double at = now();
+    bool waiting = false;
+    for (auto &[team, parked] : m_parked) {
+        while (!parked.empty() && at - parked.front()->parkedMs > parkedMaxMs) {
+            m_meter.useShares(at + sharesFallbackMs);
+            const CallPtr call = parked.front();
+            parked.pop_front();
+            if (!call->exchange->isFinished()) {
+                meter(call);
+            }
+        }
+        waiting = waiting || !parked.empty();
+    }
+    if (waiting && !m_parkedCheckScheduled) {
+        m_parkedCheckScheduled = true;
+        m_loop.after(parkCheckMs, [this] {
+            expireParked();
+        });
+    }
+}
+
 bool CallBroker::admit(Call &call)
 {
     call.service = pickService(*call.route);
@@ -141,12 +216,8 @@
     return route.services[best].service;
 }
 
-void CallBroker::begin(const CallPtr &call, const CallerRequest &request)
+void CallBroker::begin(const CallPtr &call)
 {
-    const double callerMs = request.timeLeftMs.value_or(defaultTimeMs) - answerMarginMs;
-    const auto routeMs = static_cast<double>(call->route->timeoutMs);
-    call->endsAtRouteLimit = routeMs < callerMs;
-    call->deadlineMs = call->arrivedMs + std::min(callerMs, routeMs);
     call->head = m_dialect.renderCall(call->exchange->request(), {call->team, m_identity.service});
     m_calls[call->id] = call;
     call->exchange->onGone = [this, weak = std::weak_ptr<Call>(call)] {
@@ -154,7 +225,7 @@
             callerLeft(gone);
         }
     };
-    call->timer = m_loop.after(static_cast<TimeMs>(call->deadlineMs - call->arrivedMs), [this, call] {
+    call->timer = m_loop.after(static_cast<TimeMs>(call->deadlineMs - now()), [this, call] {
         deadline(call);
     });
     m_retryTokens.noteRequest(call->service, call->arrivedMs);
--- a/packages/meshnode/callbroker.h
+++ b/packages/meshnode/callbroker.h
@@ -12,6 +12,7 @@
 #include "teammeter.h"
 #include "upstreamport.h"
 
+#include <deque>
 #include <memory>
 #include <optional>
 #include <set>
@@ -41,6 +42,8 @@
     /// The link to another node ended.
     void linkClosed(const std::string &peerAddress);
     bool expectsReply(const std::string &peerAddress) const;
+    /// The leader answered a request for tokens.
+    void tokensGranted(const TokenGrant &grant);
 
     void setConfig(std::shared_ptr<const FleetConfig> config);
     /// Keys may be trusted until @p untilMs.
@@ -56,7 +59,7 @@
     {
         return m_directory;
     }
-    TeamMeter &meter()
+    TeamMeter &teamMeter()
     {
         return m_meter;
     }
@@ -76,6 +79,8 @@
         std::shared_ptr<PortExchange> exchange;
         std::shared_ptr<const FleetConfig> config; ///< keeps the route alive
         const Route *route = nullptr;
+        const Team *meteredTeam = nullptr; ///< null if no rate applies
+        double parkedMs = 0; ///< since when it waits for a token
         std::string requestId;
         std::string team;
         std::string service;
@@ -100,7 +105,10 @@
 
     bool authorize(Call &call, const CallerRequest &request);
     bool admit(Call &call);
-    void begin(const CallPtr &call, const CallerRequest &request);
+    void meter(const CallPtr &call);
+    void expireParked();
+    void refuseOverRate(const CallPtr &call);
+    void begin(const CallPtr &call);
     std::string pickService(const Route &route);
     bool dispatch(const CallPtr &call);
     void conclude(const CallPtr &call, ReplyMessage reply);
@@ -134,6 +142,8 @@
     RetryTokens m_retryTokens;
     TeamMeter m_meter;
     std::unordered_map<std::uint64_t, CallPtr> m_calls;
+    std::map<std::string, std::deque<CallPtr>> m_parked; ///< by team: calls that wait for a token
+    bool m_parkedCheckScheduled = false;
     std::map<std::string, int> m_callsOfPeer;
     std::map<std::string, std::vector<double>> m_weightCredit; ///< by route name, one for each service
     std::uint64_t m_lastCall = 0;
--- a/packages/meshnode/directory.cpp
+++ b/packages/meshnode/directory.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 // Added to the load of an upstream in another domain, so that equal ones nearby are preferred.
-constexpr double otherDomainPenalty = 0.05;
+constexpr double otherDomainPenalty = 0.25;
 // A cold upstream works at about half its speed.
 constexpr double coldFactor = 2;
 // A load report says nothing after this time; then only own calls count.
--- a/packages/meshnode/meshnode.cpp
+++ b/packages/meshnode/meshnode.cpp
@@ -120,6 +120,14 @@
     m_upstreams.downstreamPressure = [this] {
         return m_broker.directory().worstPressure(m_loop.clock().preciseMs());
     };
+    m_broker.teamMeter().ask = [this](const TokenRequest &request) {
+        const std::string leader = m_leader.leader();
+        FrameLink *link = leader.empty() ? nullptr : m_links.link(leader);
+        if (link) {
+            link->send(FrameType::TokenRequest, encode(request));
+        }
+        return link != nullptr;
+    };
     m_leader.report = [this] {
         return report();
     };
@@ -217,6 +225,12 @@
             m_leader.received(address, reply);
             return;
         }
+    } else if (type == FrameType::TokenGrant) {
+        TokenGrant grant;
+        if (decode(payload, grant)) {
+            m_broker.tokensGranted(grant);
+            return;
+        }
     } else if (type == FrameType::Status) {
         StatusMessage status;
         if (decode(payload, status)) {
@@ -237,7 +251,7 @@
     message.directoryVersion = m_directoryVersion;
     message.directoryTerm = m_directoryTerm;
     message.upstreams = m_upstreams.entries();
-    message.demand = m_broker.meter().demand(m_loop.clock().preciseMs());
+    message.demand = m_broker.teamMeter().demand(m_loop.clock().preciseMs());
     return message;
 }
 
@@ -252,7 +266,7 @@
         m_broker.directory().replace(reply.directory);
         m_broker.retryTokens().setNodes(reply.directory.size());
     }
-    m_broker.meter().setShares(reply.shares);
+    m_broker.teamMeter().setShares(reply.shares);
     // The proof counts from the leader's contact with a majority; the way of the answer is not known and left out.
     if (sentMs > 0 && reply.proofAgeMs >= 0 && m_configIndex == reply.configIndex && m_configIndex > 0) {
         const auto validMs = static_cast<TimeMs>(static_cast<double>(m_settings.terms.withdrawalMs) * proofShare - reply.proofAgeMs);
--- a/packages/meshnode/teammeter.cpp
+++ b/packages/meshnode/teammeter.cpp
@@ -9,48 +9,73 @@
 {
 // Time constant of the demand that a node reports.
 constexpr double demandFadeMs = 700;
-// A bucket below one token could never serve a request.
-constexpr double minBurst = 1;
-constexpr double unknownWaitMs = 500; // without a share the next report decides
-
-double burstOf(const Team &team, double share)
-{
-    return std::max(minBurst, team.burst * share);
-}
+// Tokens of the own share that may be saved up, in seconds of the share.
+constexpr double shareBurstS = 0.5;
+// Tokens that are kept in advance, in seconds of demand; the rest is given back.
+constexpr double keepS = 0.5;
+// A refused caller that comes back at once would be refused again.
+constexpr double minRetryAfterMs = 300;
+// The leader's refusal holds for this time at most, since other nodes may give back tokens.
+constexpr double maxRefusalMs = 60;
+constexpr double msPerSecond = 1'000;
 }
 
-bool TeamMeter::tryTake(const Team &team, double nowMs)
+TeamMeter::Result TeamMeter::tryTake(const Team &team, double nowMs)
 {
     Bucket &bucket = m_buckets[team.name];
     bucket.counted += 1;
     if (team.ratePerS <= 0) {
-        return true;
+        return Result::Taken;
+    }
+    if (bucket.tokens >= 1) {
+        bucket.tokens -= 1;
+        return Result::Taken;
+    }
+    if (nowMs < m_sharesUntilMs) {
+        return takeOfShare(bucket, team, nowMs);
+    }
+    if (nowMs < bucket.refusedUntilMs) {
+        return Result::Refused;
     }
-    const double elapsed = bucket.updatedMs == 0 ? 0 : nowMs - bucket.updatedMs;
-    bucket.level = std::min(burstOf(team, bucket.share), bucket.level + elapsed * team.ratePerS * bucket.share / 1'000);
-    bucket.updatedMs = nowMs;
-    if (bucket.level < 1) {
-        return false;
+    // Each waiting request asks for one token, so that none is granted that nobody uses.
+    return ask({team.name, 1}) ? Result::Asked : takeOfShare(bucket, team, nowMs);
+}
+
+TeamMeter::Result TeamMeter::takeOfShare(Bucket &bucket, const Team &team, double nowMs)
+{
+    const double perS = team.ratePerS * bucket.share;
+    const double elapsed = bucket.shareUpdatedMs == 0 ? 0 : nowMs - bucket.shareUpdatedMs;
+    bucket.shareTokens = std::min(std::max(1.0, perS * shareBurstS), bucket.shareTokens + elapsed * perS / msPerSecond);
+    bucket.shareUpdatedMs = nowMs;
+    if (bucket.shareTokens < 1) {
+        return Result::Refused;
     }
-    bucket.level -= 1;
-    return true;
+    bucket.shareTokens -= 1;
+    return Result::Taken;
 }
 
-double TeamMeter::waitMs(const Team &team, double nowMs) const
+double TeamMeter::retryAfterMs(const Team &team, double nowMs) const
 {
     const auto found = m_buckets.find(team.name);
-    if (found == m_buckets.end() || found->second.share <= 0 || team.ratePerS <= 0) {
-        return unknownWaitMs;
+    const double wait = found == m_buckets.end() ? 0 : found->second.refusedUntilMs - nowMs;
+    return std::max(minRetryAfterMs, wait);
+}
+
+void TeamMeter::granted(const TokenGrant &grant, double nowMs)
+{
+    Bucket &bucket = m_buckets[grant.team];
+    bucket.tokens += grant.granted;
+    if (grant.granted == 0) {
+        bucket.refusedUntilMs = nowMs + std::min(grant.waitMs, maxRefusalMs);
     }
-    const Bucket &bucket = found->second;
-    const double missing = 1 - bucket.level - (nowMs - bucket.updatedMs) * team.ratePerS * bucket.share / 1'000;
-    return std::max(0.0, missing) * 1'000 / (team.ratePerS * bucket.share);
 }
 
 void TeamMeter::setShares(const std::vector<TeamShare> &shares)
 {
     for (const TeamShare &share : shares) {
-        m_buckets[share.team].share = share.share;
+        Bucket &bucket = m_buckets[share.team];
+        bucket.share = share.share;
+        bucket.tokens += share.tokens;
     }
 }
 
@@ -62,10 +87,12 @@
     for (auto &[team, bucket] : m_buckets) {
         if (elapsed > 0) {
             const double weight = 1 - std::exp(-elapsed / demandFadeMs);
-            bucket.perS += (bucket.counted * 1'000 / elapsed - bucket.perS) * weight;
+            bucket.perS += (bucket.counted * msPerSecond / elapsed - bucket.perS) * weight;
         }
         bucket.counted = 0;
-        result.push_back({team, bucket.perS, bucket.share});
+        const double returned = std::max(0.0, std::floor(bucket.tokens - std::max(1.0, bucket.perS * keepS)));
+        bucket.tokens -= returned;
+        result.push_back({team, bucket.perS, bucket.tokens, returned});
     }
     return result;
 }
