--- a/packages/meshnode/callbroker.cpp
+++ b/packages/meshnode/callbroker.cpp
@@ -185,6 +185,7 @@
 {
     call.service = pickService(*call.route);
     if (call.nested) {
+        m_directory.noteNestedCall(call.service);
         return true;
     }
     m_admission.observe(call.service, m_directory.pressure(call.service, call.arrivedMs), call.arrivedMs);
--- a/packages/meshnode/directory.cpp
+++ b/packages/meshnode/directory.cpp
@@ -146,11 +146,11 @@
     return found == m_pressure.end() ? 0 : found->second.waitMs * std::exp(-(nowMs - found->second.updatedMs) / pressureFadeMs);
 }
 
-double Directory::worstPressure(double nowMs) const
+double Directory::calledPressure(double nowMs) const
 {
     double worst = 0;
-    for (const auto &[service, pressure] : m_pressure) {
-        worst = std::max(worst, pressure.waitMs * std::exp(-(nowMs - pressure.updatedMs) / pressureFadeMs));
+    for (const std::string &service : m_calledServices) {
+        worst = std::max(worst, pressure(service, nowMs));
     }
     return worst;
 }
--- a/packages/meshnode/directory.h
+++ b/packages/meshnode/directory.h
@@ -36,8 +36,13 @@
     void noteFailure(const std::string &upstreamId, double nowMs);
     /// Smoothed wait at the upstreams of @p service in ms.
     double pressure(std::string_view service, double nowMs) const;
-    /// The highest pressure of all services.
-    double worstPressure(double nowMs) const;
+    /// The upstream of this host calls @p service while it serves other calls.
+    void noteNestedCall(const std::string &service)
+    {
+        m_calledServices.insert(service);
+    }
+    /// The highest pressure of the services that the upstream of this host calls.
+    double calledPressure(double nowMs) const;
     std::size_t size() const
     {
         return m_upstreams.size();
@@ -64,5 +69,6 @@
     Random m_random;
     std::map<std::string, Upstream, std::less<>> m_upstreams;
     std::map<std::string, Pressure, std::less<>> m_pressure; ///< by service
+    std::set<std::string, std::less<>> m_calledServices;
 };
 }
--- a/packages/meshnode/meshnode.cpp
+++ b/packages/meshnode/meshnode.cpp
@@ -118,7 +118,7 @@
         stateChanged();
     };
     m_upstreams.downstreamPressure = [this] {
-        return m_broker.directory().worstPressure(m_loop.clock().preciseMs());
+        return m_broker.directory().calledPressure(m_loop.clock().preciseMs());
     };
     m_broker.teamMeter().ask = [this](const TokenRequest &request) {
         const std::string leader = m_leader.leader();
