Admission levels are found by the leader over the call graph

Nodes now report only their own wait and the services that their upstream called lately; the leader keeps one level per service and takes the worst along the graph.

--- a/packages/mesh/messages.cpp
+++ b/packages/mesh/messages.cpp
@@ -20,7 +20,7 @@
 
 auto fields(Load auto &m)
 {
-    return std::tie(m.busy, m.limit, m.pressure);
+    return std::tie(m.busy, m.limit, m.waitMs);
 }
 auto fields(Is<CallMessage> auto &m)
 {
@@ -59,15 +59,19 @@
 {
     return std::tie(m.team, m.granted, m.waitMs);
 }
+auto fields(Is<ServiceLevel> auto &m)
+{
+    return std::tie(m.service, m.level);
+}
 auto fields(Is<SyncMessage> auto &m)
 {
     return std::tie(m.sequence, m.name, m.peerAddress, m.operatorAddress, m.diskId, m.configIndex, m.directoryVersion, m.directoryTerm, m.upstreams,
-                    m.demand);
+                    m.demand, m.service, m.load, m.calledServices);
 }
 auto fields(Is<SyncReplyMessage> auto &m)
 {
     return std::tie(m.sequence, m.leads, m.leaderAddress, m.proofAgeMs, m.configIndex, m.hasDocument, m.document, m.hasDirectory, m.directoryVersion,
-                    m.directoryTerm, m.directory, m.controlHosts, m.shares);
+                    m.directoryTerm, m.directory, m.controlHosts, m.shares, m.levels);
 }
 auto fields(Is<ConsensusMessage> auto &m)
 {
--- a/packages/mesh/messages.h
+++ b/packages/mesh/messages.h
@@ -29,7 +29,7 @@
 struct LoadReport {
     int busy = 0; ///< running and queued calls
     int limit = 0; ///< calls that may run at once; 0 if unknown
-    double pressure = 0; ///< smoothed wait for a slot in ms, the worst of this service and those that it calls
+    double waitMs = 0; ///< smoothed wait for a slot
 };
 
 /// A call from the node beside the caller to the node beside the upstream.
@@ -122,6 +122,12 @@
     double waitMs = 0; ///< time to the next token if none was granted
 };
 
+/// How far the requests of a service are refused: 0 admits all, n refuses the n lowest priorities.
+struct ServiceLevel {
+    std::string service;
+    double level = 0;
+};
+
 /// Report of a process to the leading control host.
 struct SyncMessage {
     std::uint64_t sequence = 0;
@@ -134,6 +140,9 @@
     std::uint64_t directoryTerm = 0; ///< term of the leader that issued the directory
     std::vector<UpstreamEntry> upstreams;
     std::vector<TeamDemand> demand;
+    std::string service; ///< of the upstream on this host
+    LoadReport load; ///< of that upstream
+    std::vector<std::string> calledServices; ///< that the upstream called lately
 };
 
 struct SyncReplyMessage {
@@ -150,6 +159,7 @@
     std::vector<UpstreamEntry> directory;
     std::vector<std::string> controlHosts; ///< peer addresses
     std::vector<TeamShare> shares;
+    std::vector<ServiceLevel> levels;
 };
 
 /// One consensus request or response; the text is JSON.
--- /dev/null
+++ b/packages/meshcontrol/levelcontroller.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "mesh/messages.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Yuccagrade::Mesh
+{
+/// Finds for each service how many requests must be refused at their entry, so that calls of it do not wait long for a
+/// slot. Requests of a service are refused for the shortage of any service that they lead to.
+class LevelController
+{
+public:
+    /// Takes the report of a node.
+    void report(const SyncMessage &message, TimeMs now);
+    /// Returns the levels of all services, those that they call included.
+    std::vector<ServiceLevel> levels(TimeMs now);
+
+private:
+    struct Node {
+        std::string service;
+        LoadReport load;
+        std::vector<std::string> calledServices;
+        TimeMs heardAt = 0;
+    };
+    void update(TimeMs now);
+    double worstLevel(const std::string &service, std::set<std::string> &seen) const;
+
+    std::map<std::string, Node> m_nodes; ///< by peer address
+    std::map<std::string, double> m_own; ///< level of each service by its own waits
+    std::map<std::string, std::set<std::string>> m_calls;
+    std::vector<ServiceLevel> m_levels;
+    TimeMs m_updatedAt = 0;
+};
+}
--- a/packages/meshcontrol/meshcontrol.cpp
+++ b/packages/meshcontrol/meshcontrol.cpp
@@ -5,6 +5,7 @@
 #include "controlgroup.h"
 #include "documentstore.h"
 #include "fleetregistry.h"
+#include "levelcontroller.h"
 #include "net/httpport.h"
 
 #include <algorithm>
@@ -73,6 +74,7 @@
     ControlGroup m_group;
     DocumentStore m_store;
     FleetRegistry m_registry;
+    LevelController m_levels;
     HttpPort m_operators;
     HttpPort m_metricsPort;
     TcpListener m_peers;
@@ -143,6 +145,7 @@
         m_leads = leads;
         m_leadsSince = m_loop.clock().now();
         m_registry = FleetRegistry();
+        m_levels = LevelController();
         loadRates();
         m_results.clear();
     };
@@ -302,6 +305,7 @@
         session.configIndex = message.configIndex;
         session.directoryVersion = message.directoryVersion;
         session.directoryTerm = message.directoryTerm;
+        m_levels.report(message, now);
         if (m_leads && m_registry.report(message, now)) {
             directoryChanged();
         }
@@ -353,6 +357,7 @@
         session.directoryTerm = term;
     }
     reply.controlHosts = m_group.hosts();
+    reply.levels = m_levels.levels(m_loop.clock().now());
     reply.shares = m_registry.shares(session.peerAddress, m_loop.clock().now());
     return reply;
 }
--- a/packages/meshnode/callbroker.cpp
+++ b/packages/meshnode/callbroker.cpp
@@ -21,6 +21,8 @@
 constexpr double retryAfterSpreadMs = 400;
 constexpr double isolatedRetryAfterMs = 1'000;
 constexpr int firstServerError = 500;
+// A route may move; services that were called before that say nothing.
+constexpr double calledLatelyMs = 3'000;
 // A request waits this long for the leader to grant a token, and is checked this often.
 constexpr double parkedMaxMs = 60;
 constexpr TimeMs parkCheckMs = 20;
@@ -185,17 +187,27 @@
 {
     call.service = pickService(*call.route);
     if (call.nested) {
-        m_directory.noteNestedCall(call.service);
+        m_calledAtMs[call.service] = call.arrivedMs;
         return true;
     }
-    m_admission.observe(call.service, m_directory.pressure(call.service, call.arrivedMs), call.arrivedMs);
-    if (m_admission.admits(call.service, call.route->priority)) {
+    if (m_admission.admits(call.service, call.route->priority, call.arrivedMs)) {
         return true;
     }
     refuse(call, 503, retryAfterMs(call), Event::RequestShed, "service under pressure");
     return false;
 }
 
+std::vector<std::string> CallBroker::calledServices() const
+{
+    std::vector<std::string> result;
+    for (const auto &[service, calledAt] : m_calledAtMs) {
+        if (now() - calledAt < calledLatelyMs) {
+            result.push_back(service);
+        }
+    }
+    return result;
+}
+
 // Smooth weighted choice: the shares hold over short times too.
 std::string CallBroker::pickService(const Route &route)
 {
@@ -461,8 +473,7 @@
                  {"refusals", std::to_string(call.refusals)},
                  {"took_ms", std::to_string(static_cast<int>(at - call.arrivedMs))},
                  {"config", call.config ? std::to_string(call.config->version) : std::string()},
-                 {"pressure_ms", std::to_string(static_cast<int>(m_directory.pressure(call.service, at)))},
-                 {"level", std::to_string(m_admission.level(call.service))},
+                 {"level", std::to_string(m_admission.level(call.service, at))},
                  {"status", std::to_string(status)},
                  {"reason", reason}});
 }
--- a/packages/meshnode/callbroker.h
+++ b/packages/meshnode/callbroker.h
@@ -55,6 +55,12 @@
     {
         return m_loop.clock().now() < m_proofUntil;
     }
+    void setLevels(const std::vector<ServiceLevel> &levels)
+    {
+        m_admission.setLevels(levels, now());
+    }
+    /// Services that the upstream of this host called lately while it served other calls.
+    std::vector<std::string> calledServices() const;
     Directory &directory()
     {
         return m_directory;
@@ -146,6 +152,7 @@
     bool m_parkedCheckScheduled = false;
     std::map<std::string, int> m_callsOfPeer;
     std::map<std::string, std::vector<double>> m_weightCredit; ///< by route name, one for each service
+    std::map<std::string, double> m_calledAtMs; ///< last nested call, by service
     std::uint64_t m_lastCall = 0;
 };
 }
--- a/packages/meshnode/directory.cpp
+++ b/packages/meshnode/directory.cpp
@@ -1,7 +1,6 @@
 #include "directory.h"
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 
 namespace Yuccagrade::Mesh
@@ -18,8 +17,6 @@
 constexpr double scoreJitter = 0.05;
 constexpr double avoidMs = 300;
 constexpr int maxAvoidSteps = 4;
-constexpr double pressureSmoothing = 0.1;
-constexpr double pressureFadeMs = 500;
 constexpr int assumedLimit = 8; // of an upstream that states no slots
 }
 
@@ -126,9 +123,6 @@
     upstream.sentSinceLoad = 0;
     upstream.failures = 0;
     upstream.avoidUntilMs = 0;
-    Pressure &pressure = m_pressure[upstream.entry.service];
-    pressure.waitMs += (load.pressure - pressure.waitMs) * pressureSmoothing;
-    pressure.updatedMs = nowMs;
 }
 
 void Directory::noteFailure(const std::string &upstreamId, double nowMs)
@@ -139,19 +133,4 @@
         found->second.avoidUntilMs = nowMs + avoidMs * found->second.failures;
     }
 }
-
-double Directory::pressure(std::string_view service, double nowMs) const
-{
-    const auto found = m_pressure.find(service);
-    return found == m_pressure.end() ? 0 : found->second.waitMs * std::exp(-(nowMs - found->second.updatedMs) / pressureFadeMs);
-}
-
-double Directory::calledPressure(double nowMs) const
-{
-    double worst = 0;
-    for (const std::string &service : m_calledServices) {
-        worst = std::max(worst, pressure(service, nowMs));
-    }
-    return worst;
-}
 }
--- a/packages/meshnode/directory.h
+++ b/packages/meshnode/directory.h
@@ -34,15 +34,6 @@
     void noteLoad(const std::string &upstreamId, const LoadReport &load, double nowMs);
     /// A call could not be sent or got no answer: the upstream is avoided for a while.
     void noteFailure(const std::string &upstreamId, double nowMs);
-    /// Smoothed wait at the upstreams of @p service in ms.
-    double pressure(std::string_view service, double nowMs) const;
-    /// The upstream of this host calls @p service while it serves other calls.
-    void noteNestedCall(const std::string &service)
-    {
-        m_calledServices.insert(service);
-    }
-    /// The highest pressure of the services that the upstream of this host calls.
-    double calledPressure(double nowMs) const;
     std::size_t size() const
     {
         return m_upstreams.size();
@@ -59,16 +50,10 @@
         int outstanding = 0; ///< calls of this node
         int sentSinceLoad = 0; ///< calls that the last report does not contain
     };
-    struct Pressure {
-        double waitMs = 0;
-        double updatedMs = 0;
-    };
     double score(const Upstream &upstream, double nowMs);
 
     std::string m_domain;
     Random m_random;
     std::map<std::string, Upstream, std::less<>> m_upstreams;
-    std::map<std::string, Pressure, std::less<>> m_pressure; ///< by service
-    std::set<std::string, std::less<>> m_calledServices;
 };
 }
--- a/packages/meshnode/meshnode.cpp
+++ b/packages/meshnode/meshnode.cpp
@@ -117,9 +117,6 @@
     m_upstreams.onStateChanged = [this] {
         stateChanged();
     };
-    m_upstreams.downstreamPressure = [this] {
-        return m_broker.directory().calledPressure(m_loop.clock().preciseMs());
-    };
     m_broker.teamMeter().ask = [this](const TokenRequest &request) {
         const std::string leader = m_leader.leader();
         FrameLink *link = leader.empty() ? nullptr : m_links.link(leader);
@@ -251,6 +248,9 @@
     message.directoryVersion = m_directoryVersion;
     message.directoryTerm = m_directoryTerm;
     message.upstreams = m_upstreams.entries();
+    message.service = m_settings.service;
+    message.load = m_upstreams.load();
+    message.calledServices = m_broker.calledServices();
     message.demand = m_broker.teamMeter().demand(m_loop.clock().preciseMs());
     return message;
 }
@@ -267,6 +267,7 @@
         m_broker.retryTokens().setNodes(reply.directory.size());
     }
     m_broker.teamMeter().setShares(reply.shares);
+    m_broker.setLevels(reply.levels);
     // The proof counts from the leader's contact with a majority; the way of the answer is not known and left out.
     if (sentMs > 0 && reply.proofAgeMs >= 0 && m_configIndex == reply.configIndex && m_configIndex > 0) {
         const auto validMs = static_cast<TimeMs>(static_cast<double>(m_settings.terms.withdrawalMs) * proofShare - reply.proofAgeMs);
--- a/packages/meshnode/upstreamport.cpp
+++ b/packages/meshnode/upstreamport.cpp
@@ -24,7 +24,7 @@
 // Weight of a new value in the smoothed times.
 constexpr double smoothing = 0.1;
 // An upstream without calls does not measure waits; the value fades with this time constant.
-constexpr double pressureFadeMs = 300;
+constexpr double waitFadeMs = 300;
 // An upstream that was silent for this time is forgotten.
 constexpr double forgetAfterMs = 60'000;
 }
@@ -287,9 +287,9 @@
     m_metrics.sample("upstream_wait_ms", waitMs);
 }
 
-double UpstreamPort::pressureOf(const Upstream &upstream) const
+double UpstreamPort::waitOf(const Upstream &upstream) const
 {
-    return upstream.waitMs * std::exp(-(now() - upstream.waitUpdatedMs) / pressureFadeMs);
+    return upstream.waitMs * std::exp(-(now() - upstream.waitUpdatedMs) / waitFadeMs);
 }
 
 void UpstreamPort::setReachable(const std::string &id, Upstream &upstream, bool reachable, const std::string &reason)
@@ -406,12 +406,9 @@
         if (stateOf(upstream) == UpstreamState::Ready) {
             report.busy += upstream.active + static_cast<int>(upstream.queue.size());
             report.limit += limitOf(upstream);
-            report.pressure = std::max(report.pressure, pressureOf(upstream));
+            report.waitMs = std::max(report.waitMs, waitOf(upstream));
         }
     }
-    if (downstreamPressure) {
-        report.pressure = std::max(report.pressure, downstreamPressure());
-    }
     return report;
 }
 
--- a/packages/meshnode/upstreamport.h
+++ b/packages/meshnode/upstreamport.h
@@ -31,8 +31,6 @@
 
     /// The state of an upstream changed.
     std::function<void()> onStateChanged;
-    /// Returns the smoothed wait in ms of the services that the upstream of this host calls.
-    std::function<double()> downstreamPressure;
 
     void setConfig(std::shared_ptr<const FleetConfig> config);
     /// Takes an announcement. Returns false if it is outdated or not of this host's service.
@@ -78,7 +76,7 @@
     void finished(const std::string &id, const std::shared_ptr<UpstreamConnection> &connection, OfferedCall call, ReplyMessage reply, bool connectFailed);
     void startWaiting(const std::string &id, Upstream &upstream);
     void noteWait(Upstream &upstream, double waitMs);
-    double pressureOf(const Upstream &upstream) const;
+    double waitOf(const Upstream &upstream) const;
     void setReachable(const std::string &id, Upstream &upstream, bool reachable, const std::string &reason);
     void scheduleSweep();
     void sweep();
