Levels follow the slots that offered calls need; failed links are reopened without calls

The need of slots, refused calls included, tells the excess itself. Calls sent to a host behind a cut waited 1.6 s for the link: links are now opened again in the background, suspect hosts are avoided, and a call on a link that was never established counts as not offered.

--- a/packages/mesh/framelink.cpp
+++ b/packages/mesh/framelink.cpp
@@ -1,5 +1,6 @@
 #include "framelink.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <cstring>
 
@@ -11,12 +12,17 @@
 // Larger than the largest body of a call and its header.
 constexpr std::size_t maxFrameBytes = 80U << 20U;
 // A process that was asked and says nothing for this time is pinged ...
-constexpr TimeMs pingAfterMs = 500;
+constexpr TimeMs pingAfterMs = 250;
 // ... and given up after this time; a packet lost twice is repeated within it.
-constexpr TimeMs silentAfterMs = 1'600;
-constexpr TimeMs checkPeriodMs = 200;
-// Pause before an address that failed is tried again.
-constexpr TimeMs reconnectMs = 300;
+constexpr TimeMs silentAfterMs = 1'000;
+// Time to establish a link: some round trips within a region.
+constexpr TimeMs connectTimeoutMs = 400;
+constexpr TimeMs checkPeriodMs = 100;
+// Pause before an address that failed is tried again; it doubles up to the limit.
+constexpr TimeMs minReconnectMs = 200;
+constexpr TimeMs maxReconnectMs = 1'600;
+// An address that nobody wanted for this time is no longer tried.
+constexpr TimeMs forgetFailureMs = 10'000;
 // Memory for frames that a peer does not take.
 constexpr std::size_t maxUnsentBytes = 32U << 20U;
 }
@@ -45,6 +51,11 @@
             self->read(data);
         }
     };
+    m_stream->onConnected = [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->connected();
+        }
+    };
     m_stream->onClosed = [weak = weak_from_this()](bool) {
         if (const auto self = weak.lock()) {
             self->fail();
@@ -65,6 +76,12 @@
     m_stream->write(payload);
 }
 
+void FrameLink::connected()
+{
+    m_wasConnected = true;
+    m_heardAt = m_clock.now();
+}
+
 void FrameLink::read(std::string_view data)
 {
     m_heardAt = m_clock.now();
@@ -104,7 +121,7 @@
         m_pingedAt = 0;
         return;
     }
-    if (now - m_heardAt > silentAfterMs || unsent() > maxUnsentBytes) {
+    if (now - m_heardAt > (isConnected() ? silentAfterMs : connectTimeoutMs) || unsent() > maxUnsentBytes) {
         fail();
     } else if (m_pingedAt == 0 && now - m_heardAt > pingAfterMs && isConnected()) {
         m_pingedAt = now;
@@ -146,9 +163,16 @@
     if (found != m_links.end()) {
         return found->second.get();
     }
-    if (isFailing(address)) {
+    const auto failure = m_failures.find(address);
+    if (failure != m_failures.end()) {
+        failure->second.usedAt = m_loop.clock().now();
         return nullptr;
     }
+    return open(address);
+}
+
+FrameLink *LinkPool::open(const std::string &address)
+{
     const auto link = FrameLink::open(TcpStream::connect(m_loop, address, m_sourceIp), m_loop.clock());
     if (!link) {
         return nullptr;
@@ -165,8 +189,8 @@
 
 bool LinkPool::isFailing(const std::string &address) const
 {
-    const auto found = m_retryAt.find(address);
-    return found != m_retryAt.end() && m_loop.clock().now() < found->second;
+    const auto link = m_links.find(address);
+    return m_failures.contains(address) || (link != m_links.end() && link->second->isSuspect());
 }
 
 void LinkPool::drop(const std::string &address, const FrameLink *link)
@@ -177,8 +201,31 @@
     }
     const auto kept = found->second;
     m_links.erase(found);
-    m_retryAt[address] = m_loop.clock().now() + reconnectMs;
-    onClosed(address);
+    const TimeMs now = m_loop.clock().now();
+    Failure &failure = m_failures[address];
+    failure.usedAt = failure.usedAt == 0 ? now : failure.usedAt;
+    failure.pauseMs = std::clamp(failure.pauseMs * 2, minReconnectMs, maxReconnectMs);
+    failure.retryAt = now + failure.pauseMs;
+    onClosed(address, kept->wasConnected());
+}
+
+// Calls are not used to find out whether a failed address is back.
+void LinkPool::reopen()
+{
+    const TimeMs now = m_loop.clock().now();
+    std::erase_if(m_failures, [now](const auto &entry) {
+        return now - entry.second.usedAt > forgetFailureMs;
+    });
+    for (auto &[address, failure] : m_failures) {
+        if (now >= failure.retryAt && !m_links.contains(address)) {
+            open(address);
+        }
+    }
+    for (const auto &[address, link] : m_links) {
+        if (link->isConnected()) {
+            m_failures.erase(address);
+        }
+    }
 }
 
 void LinkPool::close(const std::string &address)
@@ -197,5 +244,6 @@
     for (const auto &[address, link] : links) {
         link->checkSilence(isBusy(address) || !link->isConnected());
     }
+    reopen();
 }
 }
--- a/packages/mesh/framelink.h
+++ b/packages/mesh/framelink.h
@@ -32,6 +32,11 @@
     {
         return isOpen() && m_stream->isConnected();
     }
+    /// True if the link was established once.
+    bool wasConnected() const
+    {
+        return m_wasConnected;
+    }
     /// Bytes that wait to be sent.
     std::size_t unsent() const
     {
@@ -39,10 +44,16 @@
     }
     /// Closes the link if the peer, which is expected to answer, was silent for too long; sends a ping before.
     void checkSilence(bool answerExpected);
+    /// True if a ping was not answered so far.
+    bool isSuspect() const
+    {
+        return m_pingedAt > 0;
+    }
 
 private:
     FrameLink(std::shared_ptr<TcpStream> stream, const Clock &clock);
     void start();
+    void connected();
     void read(std::string_view data);
     void fail();
 
@@ -51,6 +62,7 @@
     std::string m_in;
     TimeMs m_heardAt;
     TimeMs m_pingedAt = 0;
+    bool m_wasConnected = false;
 };
 
 /// Outgoing links by address, opened when they are first used.
@@ -58,7 +70,8 @@
 {
 public:
     using FrameHandler = std::function<void(const std::string &address, FrameType, std::string_view)>;
-    using ClosedHandler = std::function<void(const std::string &address)>;
+    /// @param connected false if the link was never established, so that nothing that was sent on it arrived.
+    using ClosedHandler = std::function<void(const std::string &address, bool connected)>;
 
     LinkPool(EventLoop &loop, std::string sourceIp);
 
@@ -70,16 +83,25 @@
 
     /// Returns the link to @p address, which may still be connecting; null if it cannot be opened or failed recently.
     FrameLink *link(const std::string &address);
+    /// True if the address failed and no link was established since, or if its process does not answer now.
     bool isFailing(const std::string &address) const;
     void close(const std::string &address);
 
 private:
+    /// An address that failed; new links to it are tried in the background.
+    struct Failure {
+        TimeMs retryAt = 0;
+        TimeMs pauseMs = 0;
+        TimeMs usedAt = 0; ///< last time that somebody wanted a link
+    };
     void check();
+    void reopen();
+    FrameLink *open(const std::string &address);
     void drop(const std::string &address, const FrameLink *link);
 
     EventLoop &m_loop;
     std::string m_sourceIp;
     std::map<std::string, std::shared_ptr<FrameLink>, std::less<>> m_links;
-    std::map<std::string, TimeMs, std::less<>> m_retryAt;
+    std::map<std::string, Failure, std::less<>> m_failures;
 };
 }
--- a/packages/mesh/messages.cpp
+++ b/packages/mesh/messages.cpp
@@ -20,12 +20,12 @@
 
 auto fields(Load auto &m)
 {
-    return std::tie(m.busy, m.limit, m.waitMs);
+    return std::tie(m.busy, m.limit, m.offered);
 }
 auto fields(Is<CallMessage> auto &m)
 {
     return std::tie(m.callId, m.upstreamId, m.service, m.requestId, m.head, m.body, m.timeLeftMs, m.latencyGoalMs, m.priority, m.nested, m.idempotent,
-                    m.headOnly, m.attemptsLeft);
+                    m.headOnly, m.offeredBefore);
 }
 auto fields(Is<ReplyMessage> auto &m)
 {
--- a/packages/mesh/messages.h
+++ b/packages/mesh/messages.h
@@ -29,7 +29,7 @@
 struct LoadReport {
     int busy = 0; ///< running and queued calls
     int limit = 0; ///< calls that may run at once; 0 if unknown
-    double waitMs = 0; ///< smoothed wait for a slot
+    double offered = 0; ///< slots that the offered calls need, refused ones included
 };
 
 /// A call from the node beside the caller to the node beside the upstream.
@@ -46,7 +46,7 @@
     bool nested = false; ///< made by an upstream while it serves another call
     bool idempotent = false;
     bool headOnly = false; ///< the response has no body (HEAD)
-    bool attemptsLeft = false; ///< the sender can offer the call to another upstream
+    bool offeredBefore = false; ///< another upstream's node has counted the call
 };
 
 /// What became of a call at the node beside the upstream.
--- a/packages/meshcontrol/levelcontroller.cpp
+++ b/packages/meshcontrol/levelcontroller.cpp
@@ -8,12 +8,12 @@
 {
 constexpr TimeMs updatePeriodMs = 100;
 constexpr TimeMs reportValidMs = 1'000;
-// Wait for a slot that is accepted: enough calls wait that no slot is idle, and latency goals are not in danger.
-constexpr double targetWaitMs = 8;
-// Change of the level per second for each multiple of the target that the wait exceeds, and its limit.
-constexpr double risePerS = 0.5;
-constexpr double maxRisePerS = 3;
-constexpr double fallPerS = 0.4;
+// Part of the usable slots that may be needed: short fluctuations still find a slot.
+constexpr double targetUse = 0.97;
+// Change of the level per second for the excess of the need. Requests that were let in go on calling for about a second,
+// so a faster controller overshoots.
+constexpr double gainPerS = 1.2;
+constexpr double maxRatePerS = 1.0;
 // The highest priority is always served to a part, so that the shortage can be observed.
 constexpr double maxLevel = 2.8;
 constexpr double msPerSecond = 1'000;
@@ -39,25 +39,24 @@
     std::erase_if(m_nodes, [now](const auto &entry) {
         return now - entry.second.heardAt > reportValidMs;
     });
-    struct Sum {
-        double wait = 0;
+    struct Need {
+        double offered = 0;
         double limit = 0;
     };
-    std::map<std::string, Sum> waits;
+    std::map<std::string, Need> needs;
     m_calls.clear();
     for (const auto &[address, node] : m_nodes) {
-        waits[node.service].wait += node.load.waitMs * node.load.limit;
-        waits[node.service].limit += node.load.limit;
+        needs[node.service].offered += node.load.offered;
+        needs[node.service].limit += node.load.limit;
         m_calls[node.service].insert(node.calledServices.begin(), node.calledServices.end());
     }
-    for (const auto &[service, sum] : waits) {
-        const double wait = sum.limit > 0 ? sum.wait / sum.limit : 0;
-        const double excess = wait / targetWaitMs - 1;
-        const double rate = excess > 0 ? std::min(excess * risePerS, maxRisePerS) : excess * fallPerS;
+    for (const auto &[service, need] : needs) {
+        const double excess = need.limit > 0 ? need.offered / need.limit - targetUse : 0;
+        const double rate = std::clamp(excess * gainPerS, -maxRatePerS, maxRatePerS);
         m_own[service] = std::clamp(m_own[service] + rate * seconds, 0.0, maxLevel);
     }
     m_levels.clear();
-    for (const auto &[service, sum] : waits) {
+    for (const auto &[service, need] : needs) {
         std::set<std::string> seen;
         m_levels.push_back({service, worstLevel(service, seen)});
     }
--- a/packages/meshcontrol/levelcontroller.h
+++ b/packages/meshcontrol/levelcontroller.h
@@ -9,8 +9,8 @@
 
 namespace Yuccagrade::Mesh
 {
-/// Finds for each service how many requests must be refused at their entry, so that calls of it do not wait long for a
-/// slot. Requests of a service are refused for the shortage of any service that they lead to.
+/// Finds for each service how many requests must be refused at their entry, so that the slots of its upstreams suffice
+/// for the rest. Requests of a service are refused for the shortage of any service that they lead to.
 class LevelController
 {
 public:
@@ -30,7 +30,7 @@
     double worstLevel(const std::string &service, std::set<std::string> &seen) const;
 
     std::map<std::string, Node> m_nodes; ///< by peer address
-    std::map<std::string, double> m_own; ///< level of each service by its own waits
+    std::map<std::string, double> m_own; ///< level of each service by the need of its own slots
     std::map<std::string, std::set<std::string>> m_calls;
     std::vector<ServiceLevel> m_levels;
     TimeMs m_updatedAt = 0;
--- a/packages/meshcontrol/meshcontrol.cpp
+++ b/packages/meshcontrol/meshcontrol.cpp
@@ -112,7 +112,7 @@
     m_links.onFrame = [this](const std::string &, FrameType type, std::string_view payload) {
         linkFrame(type, payload);
     };
-    m_links.onClosed = [this](const std::string &address) {
+    m_links.onClosed = [this](const std::string &address, bool /*connected*/) {
         m_group.linkClosed(address);
     };
     m_links.isBusy = [this](const std::string &address) {
--- a/packages/meshnode/callbroker.cpp
+++ b/packages/meshnode/callbroker.cpp
@@ -279,6 +279,7 @@
     message.nested = call->nested;
     message.idempotent = call->route->repeatability == Repeatability::Idempotent;
     message.headOnly = call->exchange->request().method == "HEAD";
+    message.offeredBefore = call->refusals + call->arrivals > 0;
     call->tried.insert(upstream->id);
     call->upstreamId = upstream->id;
     call->peerAddress = local ? std::string() : upstream->peerAddress;
@@ -306,7 +307,7 @@
     }
 }
 
-void CallBroker::linkClosed(const std::string &peerAddress)
+void CallBroker::linkClosed(const std::string &peerAddress, bool connected)
 {
     std::vector<CallPtr> lost;
     for (const auto &[id, call] : m_calls) {
@@ -317,8 +318,8 @@
     for (const CallPtr &call : lost) {
         ReplyMessage reply;
         reply.callId = call->id;
-        reply.outcome = CallOutcome::MayHaveRun;
-        reply.reason = "link to the node of the upstream ended";
+        reply.outcome = connected ? CallOutcome::MayHaveRun : CallOutcome::NotOffered;
+        reply.reason = connected ? "link to the node of the upstream ended" : "node of the upstream not reached";
         conclude(call, std::move(reply));
     }
 }
--- a/packages/meshnode/callbroker.h
+++ b/packages/meshnode/callbroker.h
@@ -39,8 +39,8 @@
     void handle(const std::shared_ptr<PortExchange> &exchange);
     /// A reply of another node.
     void replied(const std::string &peerAddress, const ReplyMessage &reply);
-    /// The link to another node ended.
-    void linkClosed(const std::string &peerAddress);
+    /// The link to another node ended, or was never @p connected.
+    void linkClosed(const std::string &peerAddress, bool connected);
     bool expectsReply(const std::string &peerAddress) const;
     /// The leader answered a request for tokens.
     void tokensGranted(const TokenGrant &grant);
--- a/packages/meshnode/directory.cpp
+++ b/packages/meshnode/directory.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 // Added to the load of an upstream in another domain, so that equal ones nearby are preferred.
-constexpr double otherDomainPenalty = 0.25;
+constexpr double otherDomainPenalty = 0.35;
 // A cold upstream works at about half its speed.
 constexpr double coldFactor = 2;
 // A load report says nothing after this time; then only own calls count.
--- a/packages/meshnode/meshnode.cpp
+++ b/packages/meshnode/meshnode.cpp
@@ -107,8 +107,8 @@
     m_links.onFrame = [this](const std::string &address, FrameType type, std::string_view payload) {
         linkFrame(address, type, payload);
     };
-    m_links.onClosed = [this](const std::string &address) {
-        m_broker.linkClosed(address);
+    m_links.onClosed = [this](const std::string &address, bool connected) {
+        m_broker.linkClosed(address, connected);
         m_leader.linkClosed(address);
     };
     m_links.isBusy = [this](const std::string &address) {
@@ -249,6 +249,7 @@
     message.directoryTerm = m_directoryTerm;
     message.upstreams = m_upstreams.entries();
     message.service = m_settings.service;
+    m_upstreams.measureDemand();
     message.load = m_upstreams.load();
     message.calledServices = m_broker.calledServices();
     message.demand = m_broker.teamMeter().demand(m_loop.clock().preciseMs());
--- a/packages/meshnode/retrytokens.cpp
+++ b/packages/meshnode/retrytokens.cpp
@@ -7,7 +7,7 @@
 namespace
 {
 // Part of the shared budget that is used. A repeated request repeats its nested calls as well, and these count again.
-constexpr double usedShare = 0.5;
+constexpr double usedShare = 0.3;
 constexpr double minCap = 1;
 // Tokens from requests that may be saved up, in ms of the window.
 constexpr double savedShare = 0.1;
--- a/packages/meshnode/upstreamport.cpp
+++ b/packages/meshnode/upstreamport.cpp
@@ -22,9 +22,8 @@
 // The upstream answers at the deadline by itself; its answer needs a moment.
 constexpr double deadlineGraceMs = 60;
 // Weight of a new value in the smoothed times.
-constexpr double smoothing = 0.1;
-// An upstream without calls does not measure waits; the value fades with this time constant.
-constexpr double waitFadeMs = 300;
+constexpr double smoothing = 0.05;
+constexpr double demandSmoothing = 0.4; // of the demand in each report
 // An upstream that was silent for this time is forgotten.
 constexpr double forgetAfterMs = 60'000;
 }
@@ -162,8 +161,8 @@
         refuse(std::move(call), reason);
         return;
     }
+    upstream->offered += call.message.offeredBefore ? 0 : 1;
     if (mayStart(*upstream) && upstream->queue.empty()) {
-        noteWait(*upstream, 0);
         start(found->first, *upstream, std::move(call));
         return;
     }
@@ -253,7 +252,9 @@
         setReachable(id, upstream, false, reply.reason);
     } else if (reply.outcome == CallOutcome::Answered || reply.outcome == CallOutcome::Declined) {
         const double took = now() - connection->sentAtMs();
-        upstream.serviceMs += (took - upstream.serviceMs) * smoothing;
+        if (reply.outcome == CallOutcome::Answered) {
+            upstream.serviceMs += (took - upstream.serviceMs) * smoothing;
+        }
         upstream.heardAtMs = now();
         m_metrics.sample("upstream_service_ms", took);
         setReachable(id, upstream, true, "answered");
@@ -275,21 +276,20 @@
 {
     while (!upstream.queue.empty() && mayStart(upstream)) {
         OfferedCall call = upstream.queue.takeNext();
-        noteWait(upstream, now() - call.arrivedMs);
+        m_metrics.sample("upstream_wait_ms", now() - call.arrivedMs);
         start(id, upstream, std::move(call));
     }
 }
 
-void UpstreamPort::noteWait(Upstream &upstream, double waitMs)
-{
-    upstream.waitMs += (waitMs - upstream.waitMs) * smoothing;
-    upstream.waitUpdatedMs = now();
-    m_metrics.sample("upstream_wait_ms", waitMs);
-}
-
-double UpstreamPort::waitOf(const Upstream &upstream) const
+void UpstreamPort::measureDemand()
 {
-    return upstream.waitMs * std::exp(-(now() - upstream.waitUpdatedMs) / waitFadeMs);
+    const double elapsed = now() - m_measuredMs;
+    m_measuredMs = now();
+    for (auto &[id, upstream] : m_upstreams) {
+        const double slots = elapsed > 0 ? upstream.offered * upstream.serviceMs / elapsed : 0;
+        upstream.offeredSlots += (slots - upstream.offeredSlots) * demandSmoothing;
+        upstream.offered = 0;
+    }
 }
 
 void UpstreamPort::setReachable(const std::string &id, Upstream &upstream, bool reachable, const std::string &reason)
@@ -362,7 +362,6 @@
 {
     const double at = now();
     for (OfferedCall &call : upstream.queue.takeExpired(at)) {
-        noteWait(upstream, at - call.arrivedMs);
         refuse(std::move(call), "no slot in time");
     }
     const double silence = std::max(minSilenceMs, upstream.serviceMs * silenceFactor);
@@ -406,7 +405,7 @@
         if (stateOf(upstream) == UpstreamState::Ready) {
             report.busy += upstream.active + static_cast<int>(upstream.queue.size());
             report.limit += limitOf(upstream);
-            report.waitMs = std::max(report.waitMs, waitOf(upstream));
+            report.offered += upstream.offeredSlots;
         }
     }
     return report;
--- a/packages/meshnode/upstreamport.h
+++ b/packages/meshnode/upstreamport.h
@@ -43,6 +43,8 @@
     void drain();
 
     std::vector<UpstreamEntry> entries() const;
+    /// Measures the demand since the last call of this function; call it with each report to the leader.
+    void measureDemand();
     LoadReport load() const;
     std::size_t pending() const;
 
@@ -54,8 +56,8 @@
         bool departed = false;
         bool reachable = true;
         bool trialRunning = false;
-        double waitMs = 0; ///< smoothed wait for a slot
-        double waitUpdatedMs = 0;
+        int offered = 0; ///< calls since the last measurement
+        double offeredSlots = 0; ///< smoothed
         double serviceMs = 0; ///< smoothed time to answer
         int active = 0;
         UpstreamQueue queue;
@@ -75,8 +77,6 @@
     std::shared_ptr<UpstreamConnection> connectionFor(const std::string &id, Upstream &upstream);
     void finished(const std::string &id, const std::shared_ptr<UpstreamConnection> &connection, OfferedCall call, ReplyMessage reply, bool connectFailed);
     void startWaiting(const std::string &id, Upstream &upstream);
-    void noteWait(Upstream &upstream, double waitMs);
-    double waitOf(const Upstream &upstream) const;
     void setReachable(const std::string &id, Upstream &upstream, bool reachable, const std::string &reason);
     void scheduleSweep();
     void sweep();
@@ -90,6 +90,7 @@
     Identity m_identity;
     std::shared_ptr<const FleetConfig> m_config;
     std::map<std::string, Upstream> m_upstreams;
+    double m_measuredMs = 0;
     bool m_draining = false;
     bool m_sweepScheduled = false;
 };
