--- a/packages/base/eventlog.cpp
+++ b/packages/base/eventlog.cpp
@@ -181,8 +181,10 @@
     HybridClock hybridClock;
     std::string process;
     std::ofstream file;
-    log4cplus::Initializer initializer;
-    log4cplus::Logger logger;
+    /// Set unless lines go to standard output: the library starts threads.
+    std::unique_ptr<log4cplus::Initializer> initializer;
+    std::unique_ptr<log4cplus::Logger> logger;
+    void openLogger();
     Json::StreamWriterBuilder writer;
     Severity threshold = Info;
     std::map<Event, Budget> budgets;
@@ -231,6 +233,18 @@
     }
 }
 
+void EventLog::Impl::openLogger()
+{
+    initializer = std::make_unique<log4cplus::Initializer>();
+    logger = std::make_unique<log4cplus::Logger>(log4cplus::Logger::getInstance("yuccagrade"));
+    if (logger->getAllAppenders().empty()) {
+        log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+        appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%D{%Y-%m-%dT%H:%M:%S.%q} %-5p %m%n"));
+        logger->addAppender(appender);
+    }
+    logger->setLogLevel(logLevel(threshold));
+}
+
 EventLog::EventLog(Clock clock, std::string process, const std::string &file, Severity threshold)
     : m_impl(std::make_unique<Impl>(std::move(clock)))
 {
@@ -238,13 +252,9 @@
     m_impl->threshold = threshold;
     m_impl->writer["indentation"] = "";
     m_impl->toOutput = file == "-";
-    m_impl->logger = log4cplus::Logger::getInstance("yuccagrade");
-    if (m_impl->logger.getAllAppenders().empty()) {
-        log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
-        appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%D{%Y-%m-%dT%H:%M:%S.%q} %-5p %m%n"));
-        m_impl->logger.addAppender(appender);
+    if (!m_impl->toOutput) {
+        m_impl->openLogger();
     }
-    m_impl->logger.setLogLevel(logLevel(threshold));
     if (!file.empty() && !m_impl->toOutput) {
         m_impl->file.open(file, std::ios::app);
     }
@@ -287,7 +297,7 @@
         m_impl->writeOutput(line);
         return;
     }
-    m_impl->logger.log(logLevel(info.severity), text);
+    m_impl->logger->log(logLevel(info.severity), text);
     if (m_impl->file.is_open()) {
         m_impl->file << Json::writeString(m_impl->writer, line) << '\n' << std::flush;
     }
--- a/packages/mesh/framelink.cpp
+++ b/packages/mesh/framelink.cpp
@@ -150,11 +150,20 @@
 
 LinkPool::LinkPool(EventLoop &loop, std::string sourceIp)
     : m_loop(loop)
+    , m_timer(loop.every(checkPeriodMs,
+                         [this] {
+                             check();
+                         }))
     , m_sourceIp(std::move(sourceIp))
 {
-    loop.every(checkPeriodMs, [this] {
-        check();
-    });
+}
+
+LinkPool::~LinkPool()
+{
+    m_loop.cancel(m_timer);
+    for (const auto &[address, link] : m_links) {
+        link->close();
+    }
 }
 
 FrameLink *LinkPool::link(const std::string &address)
--- a/packages/mesh/framelink.h
+++ b/packages/mesh/framelink.h
@@ -74,6 +74,9 @@
     using ClosedHandler = std::function<void(const std::string &address, bool connected)>;
 
     LinkPool(EventLoop &loop, std::string sourceIp);
+    ~LinkPool();
+    LinkPool(const LinkPool &) = delete;
+    LinkPool &operator=(const LinkPool &) = delete;
 
     FrameHandler onFrame;
     /// A link ended; what was sent on it without an answer may have arrived.
@@ -100,6 +103,7 @@
     void drop(const std::string &address, const FrameLink *link);
 
     EventLoop &m_loop;
+    TimerId m_timer;
     std::string m_sourceIp;
     std::map<std::string, std::shared_ptr<FrameLink>, std::less<>> m_links;
     std::map<std::string, Failure, std::less<>> m_failures;
--- a/packages/meshcontrol/controlgroup.cpp
+++ b/packages/meshcontrol/controlgroup.cpp
@@ -30,6 +30,11 @@
 {
 }
 
+ControlGroup::~ControlGroup()
+{
+    m_loop.cancel(m_timer);
+}
+
 bool ControlGroup::open()
 {
     ReplicaSettings settings;
@@ -86,7 +91,7 @@
     if (report.truncatedBytes > 0) {
         m_log.write(Event::LogTailTruncated, {{"bytes", std::to_string(report.truncatedBytes)}});
     }
-    m_loop.every(tickPeriodMs, [this] {
+    m_timer = m_loop.every(tickPeriodMs, [this] {
         tick();
     });
     return true;
--- a/packages/meshcontrol/controlgroup.h
+++ b/packages/meshcontrol/controlgroup.h
@@ -18,6 +18,9 @@
 {
 public:
     ControlGroup(EventLoop &loop, LinkPool &links, EventLog &log, const MeshSettings &settings);
+    ~ControlGroup();
+    ControlGroup(const ControlGroup &) = delete;
+    ControlGroup &operator=(const ControlGroup &) = delete;
 
     /// Called with each committed entry; a null value for entries that are not commands.
     std::function<void(std::uint64_t index, const Json::Value &command)> onApply;
@@ -76,5 +79,6 @@
     std::map<std::string, TimeMs> m_heard; ///< answers and requests of group members
     TimeMs m_managedAt = 0;
     TimeMs m_leadsSince = 0;
+    TimerId m_timer = 0;
 };
 }
--- a/packages/net/eventloop.cpp
+++ b/packages/net/eventloop.cpp
@@ -10,6 +10,7 @@
 #include <sys/epoll.h>
 #include <unistd.h>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace Yuccagrade
@@ -112,7 +113,13 @@
     std::signal(SIGPIPE, SIG_IGN);
 }
 
-EventLoop::~EventLoop() = default;
+// Callbacks may hold objects that cancel timers or unwatch descriptors when they end.
+EventLoop::~EventLoop()
+{
+    m_impl->due.clear();
+    const auto timers = std::exchange(m_impl->timers, {});
+    const auto posted = std::exchange(m_impl->posted, {});
+}
 
 const Clock &EventLoop::clock() const
 {
@@ -245,6 +252,8 @@
             break;
         }
     }
+    // Destroyed after the entry: the callback may hold an object that cancels its timer when it ends.
+    const auto callback = std::move(found->second.callback);
     m_impl->timers.erase(found);
 }
 
--- a/packages/net/httpreader.cpp
+++ b/packages/net/httpreader.cpp
@@ -17,6 +17,15 @@
     return *static_cast<HttpReader *>(parser->data);
 }
 
+// The parser accepts blanks in names, which other readers take for the end of the name.
+bool isToken(std::string_view name)
+{
+    constexpr std::string_view punctuation = "!#$%&'*+-.^_`|~";
+    return !name.empty() && std::all_of(name.begin(), name.end(), [punctuation](unsigned char c) {
+        return std::isalnum(c) || punctuation.find(static_cast<char>(c)) != std::string_view::npos;
+    });
+}
+
 // The parser accepts obsolete line folding; a folded value would be sent on as two lines.
 bool isCleanValue(std::string_view value)
 {
@@ -64,7 +73,7 @@
         HttpReader &reader = readerOf(parser);
         HttpMessage &message = reader.m_message;
         for (const auto &[name, value] : message.fields) {
-            if (name.empty() || !isCleanValue(value)) {
+            if (!isToken(name) || !isCleanValue(value)) {
                 return -1;
             }
         }
--- /dev/null
+++ b/tests/mesh/meshtest.cpp
@@ -0,0 +1,212 @@
+#include <boost/test/unit_test.hpp>
+
+#include "mesh/fleetconfig.h"
+#include "mesh/framelink.h"
+#include "mesh/meshsettings.h"
+#include "mesh/messages.h"
+
+#include <rapidcheck.h>
+
+using namespace Yuccagrade;
+using namespace Yuccagrade::Mesh;
+namespace utf = boost::unit_test;
+
+namespace
+{
+FleetConfig twoRoutes()
+{
+    FleetConfig config;
+    config.services = {{"stock", "/health", 10}, {"orders", "/health", 10}};
+    Route shortRoute{.name = "short", .host = "a.example", .prefix = "/x/", .timeoutMs = 1'000, .latencyGoalMs = 500, .services = {{"stock", 1}}};
+    Route longRoute = shortRoute;
+    longRoute.name = "long";
+    longRoute.prefix = "/x/y/";
+    config.routes = {shortRoute, longRoute};
+    config.teams = {{"red", {"key-1", "key-2"}, std::nullopt, 10, 10}};
+    return config;
+}
+
+std::size_t findingsOf(FleetConfig config)
+{
+    Findings findings;
+    config.index(findings);
+    return findings.size();
+}
+}
+
+// Guards against a request that goes to the service of a shorter prefix or of another host.
+BOOST_AUTO_TEST_CASE(longestPrefixOfTheHostWins)
+{
+    FleetConfig config = twoRoutes();
+    Findings findings;
+    config.index(findings);
+    BOOST_REQUIRE(findings.empty());
+    BOOST_TEST(config.route("a.example", "/x/y/z")->name == "long");
+    BOOST_TEST(config.route("A.example:8080", "/x/z")->name == "short");
+    BOOST_TEST(!config.route("b.example", "/x/z"));
+    BOOST_TEST(!config.route("a.example", "/x"));
+    BOOST_TEST(config.teamOfKey("key-2")->name == "red");
+    BOOST_TEST(!config.teamOfKey("key-3"));
+}
+
+// Guards against a contradictory configuration in force.
+BOOST_AUTO_TEST_CASE(contradictionsAreFound)
+{
+    BOOST_TEST(findingsOf(twoRoutes()) == 0U);
+    FleetConfig config = twoRoutes();
+    config.routes[1].prefix = "/x/";
+    BOOST_TEST(findingsOf(config) == 1U);
+    config = twoRoutes();
+    config.routes[0].services = {{"unknown", 1}};
+    BOOST_TEST(findingsOf(config) == 1U);
+    config = twoRoutes();
+    config.routes[0].services = {{"stock", 0}, {"orders", 0}};
+    BOOST_TEST(findingsOf(config) == 1U);
+    config = twoRoutes();
+    config.routes[0].timeoutMs = 0;
+    BOOST_TEST(findingsOf(config) == 1U);
+    config = twoRoutes();
+    config.routes[0].latencyGoalMs = 61'000;
+    BOOST_TEST(findingsOf(config) == 1U);
+    config = twoRoutes();
+    config.teams.push_back({"blue", {"key-1"}, std::nullopt, 0, 0});
+    BOOST_TEST(findingsOf(config) == 1U);
+}
+
+// Guards against fields that are written and read in different order.
+BOOST_AUTO_TEST_CASE(messagesSurviveTheWire)
+{
+    SyncReplyMessage reply;
+    reply.sequence = 7;
+    reply.leads = true;
+    reply.proofAgeMs = 12.5;
+    reply.document = "{}";
+    reply.directory = {{"i-1", "stock", "north", "10.0.0.1:7000", UpstreamState::Draining, 19, 1'500}};
+    reply.shares = {{"red", 0.25, 3}};
+    reply.levels = {{"stock", 1.5}};
+    SyncReplyMessage read;
+    BOOST_REQUIRE(decode(encode(reply), read));
+    BOOST_TEST(read.sequence == 7U);
+    BOOST_TEST(read.leads);
+    BOOST_TEST(read.proofAgeMs == 12.5);
+    BOOST_TEST((read.directory == reply.directory));
+    BOOST_TEST(read.shares.front().tokens == 3);
+    BOOST_TEST(read.levels.front().level == 1.5);
+    CallMessage call;
+    call.callId = 9;
+    call.body = std::string("a\0b", 3);
+    call.nested = true;
+    CallMessage readCall;
+    BOOST_REQUIRE(decode(encode(call), readCall));
+    BOOST_TEST(readCall.body == call.body);
+    BOOST_TEST(readCall.nested);
+}
+
+// Guards against a crash by forged or cut bytes of a peer.
+BOOST_AUTO_TEST_CASE(decodersAcceptArbitraryBytes, *utf::label("property"))
+{
+    BOOST_TEST(rc::check("decoding random and cut bytes neither throws nor succeeds by accident on a cut message", [](const std::string &bytes, unsigned cutAt) {
+        CallMessage call;
+        SyncMessage sync;
+        SyncReplyMessage reply;
+        decode(bytes, call);
+        decode(bytes, sync);
+        decode(bytes, reply);
+        ReplyMessage whole;
+        whole.body = bytes;
+        const std::string text = encode(whole);
+        ReplyMessage cut;
+        RC_ASSERT(!decode(text.substr(0, cutAt % text.size()), cut));
+    }));
+}
+
+// Guards against an enumerator outside its name table.
+BOOST_AUTO_TEST_CASE(unknownEnumeratorsAreRefused)
+{
+    ReplyMessage reply;
+    reply.outcome = static_cast<CallOutcome>(17);
+    ReplyMessage read;
+    BOOST_TEST(!decode(encode(reply), read));
+}
+
+// Guards against frames that are lost or joined at the borders of reads, and against a frame of forged length.
+BOOST_AUTO_TEST_CASE(framesArriveWholeAndOversizedOnesCloseTheLink)
+{
+    EventLoop loop;
+    std::shared_ptr<FrameLink> accepted;
+    std::vector<std::string> received;
+    bool closed = false;
+    TcpListener listener(loop, [&](std::shared_ptr<TcpStream> stream) {
+        accepted = FrameLink::open(std::move(stream), loop.clock());
+        accepted->onFrame = [&](FrameType, std::string_view payload) {
+            received.emplace_back(payload);
+        };
+        accepted->onClosed = [&] {
+            closed = true;
+            loop.stop();
+        };
+    });
+    BOOST_REQUIRE(!listener.listen("127.0.0.1:0"));
+    const auto stream = TcpStream::connect(loop, listener.address(), {});
+    const auto link = FrameLink::open(stream, loop.clock());
+    const std::string large(300'000, 'x');
+    link->send(FrameType::Call, "one");
+    link->send(FrameType::Call, large);
+    link->send(FrameType::Call, {});
+    loop.after(300, [&] {
+        stream->write(std::string("\xff\xff\xff\xff\x01", 5));
+    });
+    loop.after(5'000, [&] {
+        loop.stop();
+    });
+    loop.run();
+    BOOST_REQUIRE(received.size() == 3U);
+    BOOST_TEST(received[0] == "one");
+    BOOST_TEST((received[1] == large));
+    BOOST_TEST(received[2].empty());
+    BOOST_TEST(closed);
+}
+
+// Guards against calls that are counted as sent although the link was never established.
+BOOST_AUTO_TEST_CASE(linkThatWasNeverEstablishedIsToldApart)
+{
+    EventLoop loop;
+    LinkPool pool(loop, {});
+    bool connected = true;
+    pool.onFrame = [](const std::string &, FrameType, std::string_view) { };
+    pool.isBusy = [](const std::string &) {
+        return true;
+    };
+    pool.onClosed = [&](const std::string &, bool was) {
+        connected = was;
+        loop.stop();
+    };
+    const std::string nobody = "127.0.0.1:1";
+    BOOST_REQUIRE(pool.link(nobody));
+    loop.after(5'000, [&] {
+        loop.stop();
+    });
+    loop.run();
+    BOOST_TEST(!connected);
+    BOOST_TEST(pool.isFailing(nobody));
+    BOOST_TEST(!pool.link(nobody));
+}
+
+// Guards against a process that starts with settings of the other role or without a needed address.
+BOOST_AUTO_TEST_CASE(settingsAreCheckedWithAllFindings)
+{
+    Findings findings;
+    const std::string common = "name = n1\ndomain = north\nhost = 10.0.0.1\npeer-port = 7000\nseeds = 10.0.0.9:8500,10.0.0.8:8500\n";
+    const MeshSettings node = parseMeshSettings("role = node\n" + common
+                                                    + "caller-address = 10.0.0.1:80\nreadiness-address = 10.0.0.1:81\n"
+                                                      "announcement-address = 10.0.0.1:82\nservice = stock\nwithdrawal-s = 2.5\n",
+                                                "f", findings);
+    BOOST_REQUIRE(findings.empty());
+    BOOST_TEST(node.seeds.at(1) == "10.0.0.8:7000");
+    BOOST_TEST(node.terms.withdrawalMs == 2'500);
+    parseMeshSettings("role = control\n" + common, "f", findings);
+    BOOST_TEST(findings.size() == 2U);
+    findings.clear();
+    parseMeshSettings("role = node\nname = n1\nunknown = 1\nretry-ratio = 7\n", "f", findings);
+    BOOST_TEST(findings.size() >= 6U);
+}
--- /dev/null
+++ b/tests/meshcontrol/controlgrouptest.cpp
@@ -0,0 +1,209 @@
+#include <boost/test/unit_test.hpp>
+
+#include "meshcontrol/controlgroup.h"
+
+#include <cstdlib>
+#include <filesystem>
+#include <memory>
+#include <set>
+#include <vector>
+
+using namespace Yuccagrade;
+using namespace Yuccagrade::Mesh;
+
+namespace
+{
+constexpr TimeMs testBoundMs = 15'000;
+constexpr TimeMs reportPeriodMs = 100;
+
+// A control host of the test: group, links and listener in this process.
+struct Host {
+    Host(EventLoop &eventLoop, EventLog &log, MeshSettings hostSettings)
+        : settings(std::move(hostSettings))
+        , loop(eventLoop)
+        , links(eventLoop, "127.0.0.1")
+        , group(eventLoop, links, log, settings)
+        , listener(eventLoop, [this](std::shared_ptr<TcpStream> stream) {
+            const auto link = FrameLink::open(std::move(stream), loop.clock());
+            link->onFrame = [this, raw = link.get()](FrameType type, std::string_view payload) {
+                serve(*raw, type, payload);
+            };
+            accepted.push_back(link);
+        })
+    {
+        group.onApply = [this](std::uint64_t, const Json::Value &command) {
+            if (command.isString()) {
+                applied.insert(command.asString());
+            }
+        };
+        group.onRestore = [](std::uint64_t, const std::string &) { };
+        group.saveState = [] {
+            return std::string();
+        };
+        group.onLeadership = [](bool) { };
+        links.onFrame = [this](const std::string &, FrameType, std::string_view payload) {
+            ConsensusMessage response;
+            if (decode(payload, response)) {
+                group.received(response);
+            }
+        };
+        links.onClosed = [this](const std::string &address, bool) {
+            group.linkClosed(address);
+        };
+        links.isBusy = [this](const std::string &address) {
+            return group.expectsReply(address);
+        };
+    }
+    ~Host()
+    {
+        for (const auto &link : accepted) {
+            link->close();
+        }
+    }
+    void serve(FrameLink &link, FrameType type, std::string_view payload)
+    {
+        ConsensusMessage request;
+        ConsensusMessage response;
+        if (type == FrameType::ConsensusRequest && decode(payload, request) && group.serve(request, response)) {
+            link.send(FrameType::ConsensusResponse, encode(response));
+        }
+    }
+
+    MeshSettings settings;
+    EventLoop &loop;
+    LinkPool links;
+    ControlGroup group;
+    TcpListener listener;
+    std::vector<std::shared_ptr<FrameLink>> accepted;
+    std::set<std::string> applied;
+};
+
+// Hosts report to each other here without the frames of reports.
+struct Fleet {
+    Fleet()
+        : log(loop.clock(), "test", "-", Severity::Error)
+    {
+        std::string pattern = (std::filesystem::temp_directory_path() / "controlgroup-XXXXXX").string();
+        BOOST_REQUIRE(::mkdtemp(pattern.data()));
+        folder = pattern;
+        for (int i = 0; i < 4; ++i) {
+            TcpListener probe(loop, {});
+            BOOST_REQUIRE(!probe.listen("127.0.0.1:0"));
+            addresses.push_back(probe.address());
+        }
+    }
+    ~Fleet()
+    {
+        hosts.clear();
+        std::error_code ignored;
+        std::filesystem::remove_all(folder, ignored);
+    }
+    Host &start(int index, bool founds)
+    {
+        MeshSettings settings;
+        settings.role = HostRole::Control;
+        settings.name = "c" + std::to_string(index);
+        settings.peerAddress = addresses[static_cast<std::size_t>(index)];
+        settings.seeds = {addresses[0], addresses[1], addresses[2]};
+        settings.dataFolder = folder + "/c" + std::to_string(index);
+        settings.foundGroup = founds;
+        settings.terms.toleratedHosts = 1;
+        auto host = std::make_unique<Host>(loop, log, settings);
+        BOOST_REQUIRE(!host->listener.listen(settings.peerAddress));
+        BOOST_REQUIRE(host->group.open());
+        hosts.push_back(std::move(host));
+        return *hosts.back();
+    }
+    Host *leader()
+    {
+        for (const auto &host : hosts) {
+            if (host->group.replica().isReady() && host->group.isCurrent()) {
+                return host.get();
+            }
+        }
+        return nullptr;
+    }
+    void runUntil(const std::function<bool()> &condition)
+    {
+        bool reached = false;
+        const TimerId poll = loop.every(reportPeriodMs, [&] {
+            for (const auto &from : hosts) {
+                for (const auto &to : hosts) {
+                    if (from != to) {
+                        to->group.noteHost(from->settings.peerAddress, from->group.replica().diskId());
+                    }
+                }
+            }
+            if (condition()) {
+                reached = true;
+                loop.stop();
+            }
+        });
+        const TimerId guard = loop.after(testBoundMs, [&] {
+            loop.stop();
+        });
+        loop.run();
+        loop.cancel(poll);
+        loop.cancel(guard);
+        BOOST_REQUIRE(reached);
+    }
+    bool isVoter(Host &host)
+    {
+        Host *current = leader();
+        if (!current) {
+            return false;
+        }
+        const GroupMember *member = findMember(current->group.replica().core()->log().members(), host.settings.peerAddress);
+        return member && member->voter && member->diskId == host.group.replica().diskId();
+    }
+
+    EventLoop loop;
+    EventLog log;
+    std::string folder;
+    std::vector<std::string> addresses;
+    std::vector<std::unique_ptr<Host>> hosts;
+};
+}
+
+// Guards against a host whose disk came back empty and that is never admitted again, or whose admission reads the list
+// of members while it is replaced (seen as bad_alloc).
+BOOST_AUTO_TEST_CASE(hostWithAnEmptyDiskIsAdmittedAgain)
+{
+    Fleet fleet;
+    for (int i = 0; i < 3; ++i) {
+        fleet.start(i, true);
+    }
+    fleet.runUntil([&] {
+        return fleet.leader() != nullptr;
+    });
+    fleet.leader()->group.replica().propose(Json::Value("kept"), [](std::error_code, std::uint64_t) { });
+    fleet.runUntil([&] {
+        return fleet.hosts[0]->applied.contains("kept") && fleet.hosts[1]->applied.contains("kept") && fleet.hosts[2]->applied.contains("kept");
+    });
+    const std::size_t lost = fleet.hosts[0].get() == fleet.leader() ? 1 : 0;
+    const int index = static_cast<int>(lost);
+    fleet.hosts.erase(fleet.hosts.begin() + index);
+    std::filesystem::remove_all(fleet.folder + "/c" + std::to_string(index));
+    Host &back = fleet.start(index, false);
+    fleet.runUntil([&] {
+        return fleet.isVoter(back) && back.applied.contains("kept");
+    });
+}
+
+// Guards against a group that stays one host short when a voter is gone for good and another host is there.
+BOOST_AUTO_TEST_CASE(spareHostReplacesAVoterThatIsGone)
+{
+    Fleet fleet;
+    for (int i = 0; i < 3; ++i) {
+        fleet.start(i, true);
+    }
+    Host &spare = fleet.start(3, true);
+    fleet.runUntil([&] {
+        return fleet.leader() != nullptr;
+    });
+    BOOST_TEST(!fleet.isVoter(spare));
+    fleet.hosts.erase(fleet.hosts.begin() + (fleet.hosts[0].get() == fleet.leader() ? 1 : 0));
+    fleet.runUntil([&] {
+        return fleet.isVoter(spare);
+    });
+}
--- /dev/null
+++ b/tests/meshcontrol/meshcontroltest.cpp
@@ -0,0 +1,180 @@
+#include <boost/test/unit_test.hpp>
+
+#include "meshcontrol/documentstore.h"
+#include "meshcontrol/fleetregistry.h"
+#include "meshcontrol/levelcontroller.h"
+
+#include "base/random.h"
+
+#include <deque>
+#include <rapidcheck.h>
+
+using namespace Yuccagrade;
+using namespace Yuccagrade::Mesh;
+namespace utf = boost::unit_test;
+
+namespace
+{
+Submission submission(std::uint64_t version, std::uint64_t base, const std::string &text)
+{
+    return {version, base, "digest of " + text, text};
+}
+
+SyncMessage nodeReport(const std::string &address, double perS, const std::string &service = "stock")
+{
+    SyncMessage message;
+    message.peerAddress = address;
+    message.service = service;
+    message.upstreams = {{"i-" + address, service, "north", address, UpstreamState::Ready, 10, 0}};
+    message.demand = {{"red", perS, 0, 0}};
+    return message;
+}
+
+std::shared_ptr<FleetConfig> rateOf(double perS, double burst)
+{
+    const auto config = std::make_shared<FleetConfig>();
+    config->teams = {{"red", {}, std::nullopt, perS, burst}};
+    return config;
+}
+
+SyncMessage loadReport(const std::string &address, const std::string &service, double offered, const std::vector<std::string> &called)
+{
+    SyncMessage message = nodeReport(address, 0, service);
+    message.load = {0, 10, offered};
+    message.calledServices = called;
+    return message;
+}
+
+double levelOf(LevelController &controller, const std::string &service, TimeMs now)
+{
+    for (const ServiceLevel &level : controller.levels(now)) {
+        if (level.service == service) {
+            return level.level;
+        }
+    }
+    return -1;
+}
+}
+
+// Guards against two operators whose changes on the same version are both accepted.
+BOOST_AUTO_TEST_CASE(oneOfTwoChangesOnTheSameVersionWins)
+{
+    DocumentStore store;
+    BOOST_TEST((store.apply(1, submission(3, 0, "a")) == SubmissionResult::Accepted));
+    BOOST_TEST((store.apply(2, submission(5, 3, "b")) == SubmissionResult::Accepted));
+    BOOST_TEST((store.apply(3, submission(5, 3, "c")) == SubmissionResult::Conflict));
+    BOOST_TEST((store.check(submission(4, 5, "d")) == SubmissionResult::OldVersion));
+    BOOST_TEST(store.document() == "b");
+    BOOST_TEST(store.index() == 2U);
+}
+
+// Guards against a refusal of a submission whose acknowledgement was lost, also after later ones and a restart.
+BOOST_AUTO_TEST_CASE(acceptedSubmissionIsAcceptedAgainAndChangesNothing)
+{
+    DocumentStore store;
+    store.apply(1, submission(3, 0, "a"));
+    store.apply(2, submission(5, 3, "b"));
+    DocumentStore restored;
+    BOOST_REQUIRE(restored.load(store.save()));
+    BOOST_TEST((restored.apply(3, submission(3, 0, "a")) == SubmissionResult::Accepted));
+    BOOST_TEST(restored.document() == "b");
+    BOOST_TEST(restored.version() == 5U);
+    BOOST_TEST(!restored.load("{\"version\":1"));
+    BOOST_TEST(restored.version() == 5U);
+}
+
+// Guards against nodes that keep receiving calls after they have gone.
+BOOST_AUTO_TEST_CASE(silentNodeLeavesTheDirectory)
+{
+    FleetRegistry registry;
+    BOOST_TEST(registry.report(nodeReport("a", 1), 1'000));
+    BOOST_TEST(!registry.report(nodeReport("a", 1), 1'250));
+    BOOST_TEST(registry.report(nodeReport("b", 1), 1'300));
+    BOOST_TEST(!registry.expire(2'000));
+    registry.report(nodeReport("b", 1), 6'000);
+    BOOST_TEST(registry.expire(6'400));
+    BOOST_REQUIRE(registry.directory().size() == 1U);
+    BOOST_TEST(registry.directory().front().peerAddress == "b");
+}
+
+// Guards against a team above its rate: tokens in advance, on request and returned ones together never exceed rate and
+// burst in any window.
+BOOST_AUTO_TEST_CASE(grantsStayWithinRateAndBurst, *utf::label("property"))
+{
+    BOOST_TEST(rc::check("tokens granted in a window are at most rate x window + burst", [](std::uint64_t seed) {
+        constexpr double rate = 40;
+        constexpr double burst = 40;
+        constexpr TimeMs window = 5'000;
+        Random random(seed);
+        FleetRegistry registry;
+        registry.setConfig(rateOf(rate, burst));
+        std::deque<std::pair<TimeMs, double>> grants;
+        double inWindow = 0;
+        for (TimeMs now = 1; now < 20'000; now += 50) {
+            double granted = 0;
+            const std::string node = std::to_string(random.below(6));
+            if (random.below(3) == 0) {
+                registry.report(nodeReport(node, static_cast<double>(random.below(60))), now);
+                registry.divide(now);
+                for (const TeamShare &share : registry.shares(node, now)) {
+                    granted += share.tokens;
+                }
+            } else {
+                granted += registry.grant({"red", static_cast<int>(random.below(20))}, now).granted;
+            }
+            grants.emplace_back(now, granted);
+            inWindow += granted;
+            while (grants.front().first <= now - window) {
+                inWindow -= grants.front().second;
+                grants.pop_front();
+            }
+            RC_ASSERT(inWindow <= rate * window / 1'000 + burst + 1e-6);
+        }
+    }));
+}
+
+// Guards against a rate that is used twice: by the leader's tokens and by a node that lost contact and uses its share.
+BOOST_AUTO_TEST_CASE(shareOfASilentNodeIsReserved)
+{
+    FleetRegistry registry;
+    registry.setConfig(rateOf(100, 1));
+    registry.report(nodeReport("a", 50), 1);
+    registry.report(nodeReport("b", 50), 1);
+    registry.divide(1);
+    const double share = registry.shares("a", 1).front().share;
+    BOOST_TEST(share > 0.4);
+    for (TimeMs now = 250; now <= 2'000; now += 250) {
+        registry.report(nodeReport("b", 50), now);
+        registry.divide(now);
+    }
+    registry.grant({"red", 1'000}, 2'000);
+    int granted = 0;
+    for (TimeMs now = 2'010; now <= 3'000; now += 10) {
+        granted += registry.grant({"red", 1'000}, now).granted;
+    }
+    BOOST_TEST(granted <= 100 * (1 - share) + 1);
+    BOOST_TEST(registry.shares("b", 2'000).front().share <= 1 - share + 1e-9);
+}
+
+// Guards against an entry that stays open while a deep service is short of slots, and against a circle of calls that
+// keeps a level up after the shortage has ended.
+BOOST_AUTO_TEST_CASE(shortageOfADeepServiceClosesTheEntryAndOpensItAgain)
+{
+    LevelController controller;
+    TimeMs now = 1'000;
+    const auto play = [&](double deepOffered, TimeMs until) {
+        for (; now < until; now += 100) {
+            controller.report(loadReport("a", "entry", 2, {"middle"}), now);
+            controller.report(loadReport("b", "middle", 2, {"deep", "entry"}), now);
+            controller.report(loadReport("c", "deep", deepOffered, {}), now);
+            controller.report(loadReport("d", "aside", 2, {}), now);
+            controller.levels(now);
+        }
+    };
+    play(20, 3'000);
+    BOOST_TEST(levelOf(controller, "deep", now) > 0.5);
+    BOOST_TEST(levelOf(controller, "entry", now) == levelOf(controller, "deep", now));
+    BOOST_TEST(levelOf(controller, "aside", now) == 0);
+    play(1, 8'000);
+    BOOST_TEST(levelOf(controller, "entry", now) == 0);
+}
--- /dev/null
+++ b/tests/meshnode/decisiontest.cpp
@@ -0,0 +1,171 @@
+#include <boost/test/unit_test.hpp>
+
+#include "meshnode/admissionlevel.h"
+#include "meshnode/directory.h"
+#include "meshnode/retrytokens.h"
+#include "meshnode/teammeter.h"
+#include "meshnode/upstreamqueue.h"
+
+#include <rapidcheck.h>
+
+using namespace Yuccagrade;
+using namespace Yuccagrade::Mesh;
+namespace utf = boost::unit_test;
+
+namespace
+{
+const auto everywhere = [](const std::string &) {
+    return true;
+};
+
+UpstreamEntry upstream(const std::string &id, const std::string &domain, UpstreamState state = UpstreamState::Ready)
+{
+    return {id, "stock", domain, "10.0.0." + id + ":7000", state, 20, 0};
+}
+
+OfferedCall offered(std::uint64_t id, int priority, bool nested, double nowMs, double goalMs = 1'000)
+{
+    OfferedCall call;
+    call.message.callId = id;
+    call.message.priority = priority;
+    call.message.nested = nested;
+    call.message.latencyGoalMs = goalMs;
+    call.message.timeLeftMs = 2'000;
+    setTimeBounds(call, nowMs);
+    return call;
+}
+}
+
+// Guards against a queue in which low priorities starve or high ones wait.
+BOOST_AUTO_TEST_CASE(prioritiesShiftTheOrderByABoundedTime)
+{
+    UpstreamQueue queue;
+    queue.add(offered(1, 2, false, 0));
+    queue.add(offered(2, 0, false, 10));
+    queue.add(offered(3, 2, true, 20));
+    queue.add(offered(4, 0, false, 100));
+    std::vector<std::uint64_t> order;
+    while (!queue.empty()) {
+        order.push_back(queue.takeNext().message.callId);
+    }
+    BOOST_TEST(order == (std::vector<std::uint64_t>{2, 3, 1, 4}), boost::test_tools::per_element());
+}
+
+// Guards against a refusal that comes later than an eighth of the latency goal.
+BOOST_AUTO_TEST_CASE(newRequestsAreRefusedEarly)
+{
+    UpstreamQueue queue;
+    queue.add(offered(1, 0, false, 0, 400));
+    queue.add(offered(2, 0, true, 0, 400));
+    BOOST_TEST(queue.takeExpired(39).empty());
+    const auto expired = queue.takeExpired(50);
+    BOOST_REQUIRE(expired.size() == 1U);
+    BOOST_TEST(expired.front().message.callId == 1U);
+    BOOST_TEST(queue.remove(0, 2));
+    BOOST_TEST(!queue.remove(0, 2));
+}
+
+// Guards against calls to upstreams that drain, were tried, failed, or cannot be reached.
+BOOST_AUTO_TEST_CASE(choiceAvoidsWhatCannotServe)
+{
+    Directory directory("north", Random(1));
+    directory.replace({upstream("1", "north", UpstreamState::Draining), upstream("2", "north"), upstream("3", "south")});
+    BOOST_TEST(directory.choose("stock", {}, everywhere, 0)->id == "2");
+    BOOST_TEST(directory.choose("stock", {"2"}, everywhere, 0)->id == "3");
+    BOOST_TEST(!directory.choose("stock", {"2", "3"}, everywhere, 0));
+    BOOST_TEST(!directory.choose("orders", {}, everywhere, 0));
+    directory.noteFailure("2", 1'000);
+    BOOST_TEST(directory.choose("stock", {}, everywhere, 1'100)->id == "3");
+    BOOST_TEST(directory.choose("stock", {"3"}, everywhere, 1'100)->id == "2");
+    const auto onlySouth = [](const std::string &address) {
+        return address == "10.0.0.3:7000";
+    };
+    BOOST_TEST(directory.choose("stock", {}, onlySouth, 5'000)->id == "3");
+}
+
+// Guards against a full upstream nearby that is preferred to an idle one elsewhere.
+BOOST_AUTO_TEST_CASE(choiceFollowsTheLoad)
+{
+    Directory directory("north", Random(1));
+    directory.replace({upstream("2", "north"), upstream("3", "south")});
+    directory.noteLoad("2", {20, 20, 0}, 1'000);
+    directory.noteLoad("3", {2, 20, 0}, 1'000);
+    BOOST_TEST(directory.choose("stock", {}, everywhere, 1'100)->id == "3");
+    directory.noteLoad("2", {4, 20, 0}, 1'200);
+    BOOST_TEST(directory.choose("stock", {}, everywhere, 1'300)->id == "2");
+}
+
+// Guards against repeated sends of all nodes together beyond the shared budget.
+BOOST_AUTO_TEST_CASE(retriesOfAllNodesStayWithinTheBudget, *utf::label("property"))
+{
+    BOOST_TEST(rc::check("sends beyond the first in a window are at most ratio x requests + the fixed number", [](std::uint64_t seed) {
+        constexpr std::size_t nodes = 15;
+        constexpr double ratio = 0.2;
+        constexpr double fixed = 49;
+        constexpr double windowMs = 10'000;
+        Random random(seed);
+        std::vector<RetryTokens> tokens(nodes, RetryTokens(ratio, fixed, windowMs));
+        for (RetryTokens &node : tokens) {
+            node.setNodes(nodes);
+        }
+        double requests = 0;
+        double repeats = 0;
+        for (double now = 1; now < windowMs; now += 5) {
+            RetryTokens &node = tokens[random.below(nodes)];
+            if (random.below(2) == 0) {
+                node.noteRequest("stock", now);
+                requests += 1;
+            }
+            for (int i = 0; i < 3; ++i) {
+                repeats += node.tryTake("stock", now) ? 1 : 0;
+            }
+        }
+        RC_ASSERT(repeats <= ratio * requests + fixed);
+    }));
+}
+
+// Guards against refusals of urgent requests while less urgent ones are admitted.
+BOOST_AUTO_TEST_CASE(lowestPriorityIsRefusedFirst)
+{
+    AdmissionLevel admission(Random(1));
+    admission.setLevels({{"stock", 1.0}}, 0);
+    for (int i = 0; i < 100; ++i) {
+        BOOST_TEST(!admission.admits("stock", 2, 100));
+        BOOST_TEST(admission.admits("stock", 1, 100));
+        BOOST_TEST(admission.admits("stock", 0, 100));
+        BOOST_TEST(admission.admits("orders", 2, 100));
+    }
+    // A leader that is gone must not keep the entry closed.
+    BOOST_TEST(admission.admits("stock", 2, 10'000));
+}
+
+// Guards against requests that run without a token, and against refusals while the leader grants.
+BOOST_AUTO_TEST_CASE(teamsTakeTokensFromTheLeaderOrTheOwnShare)
+{
+    const Team team{"red", {}, std::nullopt, 100, 100};
+    const Team free{"free", {}, std::nullopt, 0, 0};
+    TeamMeter meter;
+    bool leader = true;
+    int asked = 0;
+    meter.ask = [&](const TokenRequest &request) {
+        asked += request.wanted;
+        return leader;
+    };
+    BOOST_TEST((meter.tryTake(free, 0) == TeamMeter::Result::Taken));
+    BOOST_TEST((meter.tryTake(team, 0) == TeamMeter::Result::Asked));
+    BOOST_TEST(asked == 1);
+    meter.granted({"red", 1, 0}, 2);
+    BOOST_TEST((meter.tryTake(team, 2) == TeamMeter::Result::Taken));
+    BOOST_TEST((meter.tryTake(team, 3) == TeamMeter::Result::Asked));
+    meter.granted({"red", 0, 40}, 5);
+    BOOST_TEST((meter.tryTake(team, 10) == TeamMeter::Result::Refused));
+    BOOST_TEST((meter.tryTake(team, 60) == TeamMeter::Result::Asked));
+    leader = false;
+    meter.setShares({{"red", 0.5, 0}});
+    int taken = 0;
+    for (double now = 1'000; now < 2'000; now += 1) {
+        taken += meter.tryTake(team, now) == TeamMeter::Result::Taken ? 1 : 0;
+    }
+    BOOST_TEST(taken <= 51);
+    BOOST_TEST(taken >= 48);
+}
--- /dev/null
+++ b/tests/net/porttest.cpp
@@ -0,0 +1,187 @@
+#include <boost/test/unit_test.hpp>
+
+#include "net/httpport.h"
+#include "net/httpreader.h"
+#include "net/tcp.h"
+
+#include <string>
+#include <vector>
+
+using namespace Yuccagrade;
+
+namespace
+{
+constexpr TimeMs testBoundMs = 10'000;
+
+void runBounded(EventLoop &loop)
+{
+    bool expired = false;
+    const TimerId guard = loop.after(testBoundMs, [&] {
+        expired = true;
+        loop.stop();
+    });
+    loop.run();
+    loop.cancel(guard);
+    BOOST_REQUIRE(!expired);
+}
+
+// Connects to a port, sends bytes and collects what comes back until the loop is stopped.
+struct TestClient {
+    TestClient(EventLoop &loop, const std::string &address, const std::string &bytes)
+        : stream(TcpStream::connect(loop, address, {}))
+    {
+        stream->onData = [this](std::string_view data) {
+            received.append(data);
+            if (onChange) {
+                onChange();
+            }
+        };
+        stream->onClosed = [this](bool wasClean) {
+            closed = true;
+            clean = wasClean;
+            if (onChange) {
+                onChange();
+            }
+        };
+        stream->write(bytes);
+    }
+    std::shared_ptr<TcpStream> stream;
+    std::string received;
+    bool closed = false;
+    bool clean = false;
+    std::function<void()> onChange;
+};
+}
+
+// Guards against a reader that takes bytes of the next message as part of the present one.
+BOOST_AUTO_TEST_CASE(readerStopsAtTheEndOfAMessage)
+{
+    HttpReader reader(HttpReader::Kind::Request);
+    const std::string first = "POST /a/?q=1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+    const std::string second = "GET /b/ HTTP/1.1\r\nHost: h\r\n\r\n";
+    BOOST_TEST(reader.read(first + second) == first.size());
+    BOOST_REQUIRE(reader.state() == HttpReader::State::Complete);
+    const HttpMessage message = reader.take();
+    BOOST_TEST(message.body == "abcde");
+    BOOST_TEST(message.target == "/a/?q=1");
+    BOOST_TEST(reader.read(second) == second.size());
+    BOOST_TEST(reader.take().target == "/b/");
+}
+
+// Guards against request smuggling: a message with two lengths could be read differently by the upstream.
+BOOST_AUTO_TEST_CASE(readerRefusesAmbiguousLengths)
+{
+    for (const std::string &fields : {std::string("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n"), std::string("Content-Length: 3\r\nContent-Length: 4\r\n"),
+                                      std::string("Content-Length: x\r\n"), std::string("Bad Name: 1\r\n")}) {
+        HttpReader reader(HttpReader::Kind::Request);
+        reader.read("POST /a/ HTTP/1.1\r\nHost: h\r\n" + fields + "\r\nabc");
+        BOOST_TEST((reader.state() == HttpReader::State::Malformed));
+    }
+}
+
+// Guards against unbounded memory for a header or body, and against a cut response that counts as whole.
+BOOST_AUTO_TEST_CASE(readerKeepsLimitsAndNoticesCutResponses)
+{
+    HttpReader large(HttpReader::Kind::Request, {100, 10});
+    large.read("GET /a/ HTTP/1.1\r\nX: " + std::string(200, 'x'));
+    BOOST_TEST((large.state() == HttpReader::State::HeaderTooLarge));
+    HttpReader body(HttpReader::Kind::Request, {100, 10});
+    body.read("POST /a/ HTTP/1.1\r\nContent-Length: 11\r\n\r\n");
+    BOOST_TEST((body.state() == HttpReader::State::BodyTooLarge));
+    HttpReader cut(HttpReader::Kind::Response);
+    cut.read("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc");
+    cut.readEnd();
+    BOOST_TEST((cut.state() == HttpReader::State::Malformed));
+    HttpReader unframed(HttpReader::Kind::Response);
+    unframed.read("HTTP/1.1 200 OK\r\n\r\nabc");
+    BOOST_TEST((unframed.state() == HttpReader::State::Reading));
+    unframed.readEnd();
+    BOOST_REQUIRE((unframed.state() == HttpReader::State::Complete));
+    BOOST_TEST(unframed.take().untilClose);
+}
+
+// Guards against answers that cross on a connection with several requests under way.
+BOOST_AUTO_TEST_CASE(pipelinedRequestsAreAnsweredInOrder)
+{
+    EventLoop loop;
+    std::vector<std::shared_ptr<PortExchange>> exchanges;
+    HttpPort port(loop, [&](const std::shared_ptr<PortExchange> &exchange) {
+        exchanges.push_back(exchange);
+        if (exchanges.size() == 2) {
+            exchanges[1]->respond(responseHead(200), "second");
+            loop.after(20, [&] {
+                exchanges[0]->respond(responseHead(200), "first");
+            });
+        }
+    });
+    BOOST_REQUIRE(!port.listen("127.0.0.1:0"));
+    TestClient client(loop, port.address(), "GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+    client.onChange = [&] {
+        if (client.received.find("second") != std::string::npos) {
+            loop.stop();
+        }
+    };
+    runBounded(loop);
+    BOOST_TEST(client.received.find("first") < client.received.find("second"));
+}
+
+// Guards against work that goes on for a client that has left.
+BOOST_AUTO_TEST_CASE(leavingClientIsNoticedWhileItsRequestRuns)
+{
+    EventLoop loop;
+    std::unique_ptr<TestClient> client;
+    std::shared_ptr<PortExchange> held;
+    HttpPort port(loop, [&](const std::shared_ptr<PortExchange> &exchange) {
+        held = exchange;
+        exchange->onGone = [&] {
+            loop.stop();
+        };
+        client->stream->close();
+    });
+    BOOST_REQUIRE(!port.listen("127.0.0.1:0"));
+    client = std::make_unique<TestClient>(loop, port.address(), "GET /1 HTTP/1.1\r\n\r\n");
+    runBounded(loop);
+    BOOST_TEST(held->isFinished());
+}
+
+// Guards against a last answer that is lost because unread bytes reset the connection.
+BOOST_AUTO_TEST_CASE(malformedRequestGetsItsAnswerBeforeTheClose)
+{
+    EventLoop loop;
+    HttpPort port(loop, [](const std::shared_ptr<PortExchange> &exchange) {
+        exchange->respond(responseHead(200), {});
+    });
+    BOOST_REQUIRE(!port.listen("127.0.0.1:0"));
+    TestClient client(loop, port.address(), "NONSENSE\r\n\r\n" + std::string(50'000, 'x'));
+    client.onChange = [&] {
+        if (client.closed) {
+            loop.stop();
+        }
+    };
+    runBounded(loop);
+    BOOST_TEST(client.received.starts_with("HTTP/1.1 400"));
+    BOOST_TEST(client.received.find("Connection: close") != std::string::npos);
+}
+
+// Guards against a drained listener that resets requests already sent.
+BOOST_AUTO_TEST_CASE(stoppedPortAnswersWhatItHasRead)
+{
+    EventLoop loop;
+    HttpPort port(loop, [&](const std::shared_ptr<PortExchange> &exchange) {
+        port.closeAfterResponses();
+        port.stopListening();
+        loop.after(20, [exchange] {
+            exchange->respond(responseHead(200), "whole");
+        });
+    });
+    BOOST_REQUIRE(!port.listen("127.0.0.1:0"));
+    TestClient client(loop, port.address(), "GET /1 HTTP/1.1\r\n\r\n");
+    client.onChange = [&] {
+        if (client.closed) {
+            loop.stop();
+        }
+    };
+    runBounded(loop);
+    BOOST_TEST(client.clean);
+    BOOST_TEST(client.received.ends_with("whole"));
+}
--- /dev/null
+++ b/tests/platform/platformtest.cpp
@@ -0,0 +1,174 @@
+#include <boost/test/unit_test.hpp>
+
+#include "platform/dialect.h"
+
+#include <rapidcheck.h>
+
+using namespace Yuccagrade;
+using namespace Yuccagrade::Mesh;
+namespace utf = boost::unit_test;
+
+namespace
+{
+const std::string document = R"({"version":"0000001f","routes":[
+ {"name":"r-1","host":"a.example","pathPrefix":"/p/","routeType":"safe","timeoutS":1.2,"targetLatencyS":2,"priority":2,
+  "weightedServices":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"maxAttempts":2,"public":false},
+ {"name":"r-2","host":"b.example","pathPrefix":"/q/","routeType":"unsafe","timeoutS":1.5,"targetLatencyS":2,"priority":0,
+  "service":"s2","maxAttempts":2,"public":true}],
+ "services":[{"name":"s1","healthCheck":"/healthz","maxConnections":370,"protocol":"h1","tls":false},
+  {"name":"s2","healthCheck":"/healthz","maxConnections":550,"protocol":"h1","tls":false}],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutS":3,"idleTimeoutS":15},
+ "tenants":[{"name":"t1","apiKeys":["k1","k2"],"priority":1,"ratePerS":73,"burst":70}]})";
+
+std::string replaced(std::string text, const std::string &what, const std::string &with)
+{
+    const auto at = text.find(what);
+    BOOST_REQUIRE(at != std::string::npos);
+    return text.replace(at, what.size(), with);
+}
+
+std::size_t findingsOf(const std::string &text)
+{
+    FleetConfig config;
+    Findings findings;
+    Platform::readDocument(text, config, findings);
+    return findings.size();
+}
+
+HttpMessage heartbeat(const std::string &body, const std::string &target = "/Instances.Heartbeat/i-7f")
+{
+    HttpMessage message;
+    message.method = "POST";
+    message.target = target;
+    message.body = body;
+    return message;
+}
+
+const std::string beat = R"({"address":"10.128.0.9:8080","born":1782481240028,"info":{"service":"s1","version":"v1","zone":"z","slots":72},)"
+                         R"("status":{"state":"ready","sequence":4,"coldRemainingS":1.5}})";
+}
+
+// Guards against units and names that are misread.
+BOOST_AUTO_TEST_CASE(recordedDocumentIsRead)
+{
+    FleetConfig config;
+    Findings findings;
+    Platform::readDocument(document, config, findings);
+    BOOST_REQUIRE_MESSAGE(findings.empty(), toText(findings));
+    BOOST_TEST(config.version == 0x1fU);
+    const Route *route = config.route("a.example", "/p/x");
+    BOOST_REQUIRE(route);
+    BOOST_TEST(route->timeoutMs == 1'200);
+    BOOST_TEST(route->latencyGoalMs == 2'000);
+    BOOST_TEST((route->repeatability == Repeatability::Idempotent));
+    BOOST_TEST(route->services.at(1).weight == 10);
+    BOOST_TEST((config.route("b.example", "/q/")->repeatability == Repeatability::AtMostOnce));
+    BOOST_TEST(config.route("b.example", "/q/")->open);
+    BOOST_TEST(config.teamOfKey("k2")->ratePerS == 73);
+    BOOST_TEST(config.limits.idleTimeoutMs == 15'000);
+    BOOST_TEST(config.service("s1")->maxConnections == 370);
+}
+
+// Guards against an invalid configuration that is accepted.
+BOOST_AUTO_TEST_CASE(invalidDocumentsAreRefused)
+{
+    BOOST_TEST(findingsOf(document.substr(0, document.size() / 2)) == 1U);
+    BOOST_TEST(findingsOf(document + "x") == 1U);
+    BOOST_TEST(findingsOf(replaced(document, "\"service\":\"s2\",\"maxA", "\"service\":\"s9\",\"maxA")) == 1U);
+    BOOST_TEST(findingsOf(replaced(document, "\"timeoutS\":1.2", "\"timeoutS\":0")) == 1U);
+    BOOST_TEST(findingsOf(replaced(document, "\"unsafe\"", "\"odd\"")) == 1U);
+    BOOST_TEST(findingsOf(replaced(document, "\"targetLatencyS\":2,", "\"targetLatencyS\":62,")) == 1U);
+    BOOST_TEST(findingsOf(replaced(document, "0000001f", "1f")) == 1U);
+    BOOST_TEST(findingsOf(replaced(document, "\"weight\":90", "\"weight\":\"90\"")) >= 1U);
+    BOOST_TEST(findingsOf(replaced(document, "\"routes\":[", "\"routen\":[")) >= 1U);
+    BOOST_TEST(findingsOf("[]") == 1U);
+}
+
+// Guards against a crash by arbitrary documents and announcements.
+BOOST_AUTO_TEST_CASE(cutAndChangedInputNeverThrows, *utf::label("property"))
+{
+    BOOST_TEST(rc::check("cut and changed input is refused or read, and never throws", [](unsigned at, char byte, unsigned cutAt) {
+        std::string text = document;
+        text[at % text.size()] = byte;
+        findingsOf(text.substr(0, cutAt % (text.size() + 1)));
+        std::string changed = beat;
+        changed[at % changed.size()] = byte;
+        std::string error;
+        Platform::readAnnouncement(heartbeat(changed), error);
+    }));
+}
+
+// Guards against fields of an announcement that are taken for others, and against upstreams that do not exist.
+BOOST_AUTO_TEST_CASE(announcementsAreReadAndForgedOnesRefused)
+{
+    std::string error;
+    const auto read = Platform::readAnnouncement(heartbeat(beat), error);
+    BOOST_REQUIRE_MESSAGE(read, error);
+    BOOST_TEST(read->id == "i-7f");
+    BOOST_TEST(read->slots == 72);
+    BOOST_TEST(read->startedAt == 1782481240028);
+    BOOST_TEST(read->coldLeftMs == 1'500);
+    BOOST_TEST(!read->draining);
+    for (const auto &[what, with] : std::vector<std::pair<std::string, std::string>>{{"\"ready\"", "\"odd\""},
+                                                                                     {"\"10.128.0.9:8080\"", "\"nowhere\""},
+                                                                                     {"\"slots\":72", "\"slots\":\"72\""},
+                                                                                     {"\"sequence\":4", "\"sequence\":-4"},
+                                                                                     {"1782481240028", "1782481240028.5"},
+                                                                                     {"\"service\":\"s1\",", ""}}) {
+        error.clear();
+        BOOST_TEST(!Platform::readAnnouncement(heartbeat(replaced(beat, what, with)), error));
+        BOOST_TEST(!error.empty());
+    }
+    const auto departure = Platform::readAnnouncement(heartbeat("", "/Instances.Deregister/i-7f"), error);
+    BOOST_REQUIRE(departure);
+    BOOST_TEST((departure->kind == Announcement::Kind::Departure));
+}
+
+// Guards against a key or a forged identity that reaches a server.
+BOOST_AUTO_TEST_CASE(callCarriesTheLayersFieldsOnly)
+{
+    const Dialect dialect = Platform::makeDialect();
+    HttpMessage request;
+    request.method = "POST";
+    request.target = "/p/x?q=%20";
+    request.body = "abc";
+    request.fields = {{"Host", "a.example"}, {"Authorization", "Bearer k1"}, {"x-yuccagrade-tenant", "forged"}, {"X-Yuccagrade-Caller-Service", "forged"},
+                      {"X-Yuccagrade-Request-Id", "9c41"}, {"X-Yuccagrade-Deadline-Ms", "5000"}, {"Connection", "keep-alive, X-Hop"}, {"X-Hop", "1"},
+                      {"X-Kept", "2"}, {"Transfer-Encoding", "chunked"}};
+    const CallerRequest read = dialect.readRequest(request);
+    BOOST_TEST(read.key.value() == "k1");
+    BOOST_TEST(read.timeLeftMs.value() == 5'000);
+    BOOST_TEST(read.requestId == "9c41");
+    const std::string head = dialect.renderCall(request, {"t1", "s1"}) + dialect.renderHop("i-7f", 1234.5);
+    BOOST_TEST(head.starts_with("POST /p/x?q=%20 HTTP/1.1\r\n"));
+    for (const std::string &line : {"X-Yuccagrade-Tenant: t1\r\n", "X-Yuccagrade-Caller-Service: s1\r\n", "X-Yuccagrade-Target-Instance: i-7f\r\n",
+                                    "X-Yuccagrade-Deadline-Ms: 1234\r\n", "Content-Length: 3\r\n", "X-Kept: 2\r\n", "X-Yuccagrade-Request-Id: 9c41\r\n"}) {
+        BOOST_TEST(head.find(line) != std::string::npos, line);
+    }
+    for (const std::string &text : {"Bearer", "forged", "X-Hop", "chunked", "5000"}) {
+        BOOST_TEST(head.find(text) == std::string::npos, text);
+    }
+}
+
+// Guards against a refusal that says "not run" although the server may have run the request.
+BOOST_AUTO_TEST_CASE(answersOfServersAreTakenApart)
+{
+    const Dialect dialect = Platform::makeDialect();
+    HttpMessage response;
+    response.status = 503;
+    response.fields = {{"X-Yuccagrade-Not-Executed", "1"}, {"X-Yuccagrade-Server-Load", "3,2,8"}, {"Keep-Alive", "timeout=9, max=5"}};
+    UpstreamAnswer answer = dialect.readAnswer(response);
+    BOOST_TEST(answer.notExecuted);
+    BOOST_TEST(answer.load.value().busy == 5);
+    BOOST_TEST(answer.idleTimeoutMs.value() == 9'000);
+    response.fields = {{"X-Yuccagrade-Server-Signature", "3e1b"}, {"X-Yuccagrade-Request-Id", "9c41"}, {"X-Yuccagrade-Server-Load", "x"}};
+    answer = dialect.readAnswer(response);
+    BOOST_TEST(!answer.notExecuted);
+    BOOST_TEST(answer.hasReceipt);
+    BOOST_TEST(answer.requestId == "9c41");
+    BOOST_TEST(!answer.load);
+    response.status = 421;
+    BOOST_TEST(dialect.readAnswer(response).wrongUpstream);
+    BOOST_TEST(dialect.renderRefusal("9c41", 503, 250).find("Retry-After: 0.250\r\n") != std::string::npos);
+    BOOST_TEST(dialect.renderRefusal("9c41", 504, -1).find("Retry-After") == std::string::npos);
+}
