Compressed configurations, a health question after a start, tokens from the begin of the term

A restarted node did not know the upstream beside it before its next heartbeat, up to 1.5 s later. Teams had no tokens at the first request, since a bucket began to fill then.

--- a/packages/base/eventlog.cpp
+++ b/packages/base/eventlog.cpp
@@ -56,6 +56,7 @@
     {Event::StorageDamaged, Error, "storage-damaged", "A stored record fails its checksum."},
     {Event::GroupChanged, Info, "group-changed", "The group of control hosts changed."},
     {Event::DiskReplaced, Warning, "disk-replaced", "The data folder is new; this host does not vote until admitted."},
+    {Event::LeaderFollowed, Info, "leader-followed", "Another control host leads the group."},
     {Event::ManifestAccepted, Info, "manifest-accepted", "A manifest was committed."},
     {Event::ManifestRefused, Warning, "manifest-refused", "A manifest was refused."},
     {Event::StateApplied, Info, "state-applied", "Configuration up to an index is in force in this process."},
--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -34,6 +34,7 @@
     StorageDamaged = 206,
     GroupChanged = 207,
     DiskReplaced = 208,
+    LeaderFollowed = 209,
     ManifestAccepted = 300,
     ManifestRefused = 301,
     StateApplied = 302,
--- a/packages/mesh/dialect.h
+++ b/packages/mesh/dialect.h
@@ -32,6 +32,7 @@
     bool notExecuted = false; ///< the upstream did not run the call and will not
     bool wrongUpstream = false; ///< the call named another incarnation
     std::optional<TimeMs> idleTimeoutMs; ///< how long the upstream keeps the connection
+    std::string upstreamId; ///< incarnation that answered a health question
     std::optional<LoadReport> load; ///< running and waiting calls, and slots as the limit
 };
 
--- a/packages/mesh/meshsettings.cpp
+++ b/packages/mesh/meshsettings.cpp
@@ -28,6 +28,7 @@
     Option{.name = "caller-address", .type = Address, .help = "Node: listens for callers and for calls of the upstream."},
     Option{.name = "readiness-address", .type = Address, .help = "Node: listens for readiness questions."},
     Option{.name = "announcement-address", .type = Address, .help = "Node: listens for announcements of the upstream on this host."},
+    Option{.name = "upstream-address", .type = Address, .help = "Node: where the upstream on this host is asked for its health after a start."},
     Option{.name = "service", .type = Name, .help = "Node: service of the upstream on this host."},
     Option{.name = "operator-address", .type = Address, .help = "Control: listens for operators."},
     Option{.name = "data-folder", .type = File, .help = "Control: folder of the durable state."},
@@ -65,6 +66,7 @@
     settings.callerAddress = section.text("caller-address");
     settings.readinessAddress = section.text("readiness-address");
     settings.announcementAddress = section.text("announcement-address");
+    settings.upstreamAddress = section.text("upstream-address");
     settings.service = section.text("service");
     settings.operatorAddress = section.text("operator-address");
     settings.dataFolder = section.text("data-folder");
--- a/packages/mesh/meshsettings.h
+++ b/packages/mesh/meshsettings.h
@@ -33,6 +33,7 @@
     std::string callerAddress; ///< node only
     std::string readinessAddress; ///< node only
     std::string announcementAddress; ///< node only: upstreams announce themselves here
+    std::string upstreamAddress; ///< node only: of the upstream on this host, empty if only announcements tell
     std::string service; ///< node only: service of the upstream on this host
     std::string operatorAddress; ///< control only
     std::string dataFolder; ///< control only
--- a/packages/mesh/messages.h
+++ b/packages/mesh/messages.h
@@ -152,7 +152,7 @@
     double proofAgeMs = -1; ///< age of the leader's last contact with a majority; negative if not leading
     std::uint64_t configIndex = 0;
     bool hasDocument = false;
-    std::string document;
+    std::string document; ///< compressed
     bool hasDirectory = false;
     std::uint64_t directoryVersion = 0;
     std::uint64_t directoryTerm = 0;
--- a/packages/meshcontrol/controlgroup.cpp
+++ b/packages/meshcontrol/controlgroup.cpp
@@ -63,7 +63,8 @@
     };
     hooks.leadershipChanged = [this](const Leadership &leadership) {
         m_leadsSince = leadership.self ? m_loop.clock().now() : 0;
-        m_log.write(leadership.self ? Event::LeaderElected : Event::LeaderLost,
+        const Event other = leadership.leader.empty() ? Event::LeaderLost : Event::LeaderFollowed;
+        m_log.write(leadership.self ? Event::LeaderElected : other,
                     {{"term", std::to_string(leadership.term)}, {"leader", leadership.leader}});
         onLeadership(leadership.self);
     };
--- a/packages/meshcontrol/documentstore.cpp
+++ b/packages/meshcontrol/documentstore.cpp
@@ -1,22 +1,43 @@
 #include "documentstore.h"
 
+#include "base/compress.h"
+#include "base/secret.h"
 #include "protocol/jsoncodec.h"
 
 namespace Yuccagrade::Mesh
 {
+namespace
+{
+// A body of an operator's call is smaller than this.
+constexpr std::size_t maxDocumentBytes = 128U << 20U;
+
+std::string packText(const std::string &document)
+{
+    return base64UrlEncode(compress(document));
+}
+
+bool unpackText(const std::string &text, std::string &document)
+{
+    std::string data;
+    return base64UrlDecode(text, data) && decompress(data, maxDocumentBytes, document);
+}
+}
+
 Json::Value Submission::toJson() const
 {
     Json::Value json;
     json["version"] = version;
     json["base"] = base;
     json["digest"] = digest;
-    json["document"] = document;
+    json["document"] = packText(document);
     return json;
 }
 
 bool Submission::fromJson(const Json::Value &json, Submission &out)
 {
-    return JsonReader(json).read("version", out.version).read("base", out.base).read("digest", out.digest).read("document", out.document).ok();
+    std::string packed;
+    return JsonReader(json).read("version", out.version).read("base", out.base).read("digest", out.digest).read("document", packed).ok()
+        && unpackText(packed, out.document);
 }
 
 SubmissionResult DocumentStore::check(const Submission &submission) const
@@ -46,7 +67,7 @@
     Json::Value json;
     json["version"] = m_version;
     json["index"] = m_index;
-    json["document"] = m_document;
+    json["document"] = packText(m_document);
     json["digests"] = Json::Value(Json::arrayValue);
     for (const std::string &digest : m_digests) {
         json["digests"].append(digest);
@@ -59,13 +80,15 @@
     DocumentStore loaded;
     Json::Value json;
     std::vector<std::string> digests;
+    std::string packed;
     if (!parseJson(text, json)
         || !JsonReader(json)
                 .read("version", loaded.m_version)
                 .read("index", loaded.m_index)
-                .read("document", loaded.m_document)
+                .read("document", packed)
                 .read("digests", digests)
-                .ok()) {
+                .ok()
+        || !unpackText(packed, loaded.m_document)) {
         return false;
     }
     loaded.m_digests.insert(digests.begin(), digests.end());
--- a/packages/meshcontrol/documentstore.h
+++ b/packages/meshcontrol/documentstore.h
@@ -14,6 +14,7 @@
     std::string digest; ///< of the document; equal documents are one submission
     std::string document;
 
+    /// Log entries hold the document compressed.
     Json::Value toJson() const;
     static bool fromJson(const Json::Value &json, Submission &out);
 };
--- a/packages/meshcontrol/fleetregistry.cpp
+++ b/packages/meshcontrol/fleetregistry.cpp
@@ -102,7 +102,7 @@
         return nullptr;
     }
     Bucket &bucket = m_buckets[name];
-    const double elapsedMs = bucket.updatedAt == 0 ? 0 : static_cast<double>(now - bucket.updatedAt);
+    const auto elapsedMs = static_cast<double>(now - (bucket.updatedAt == 0 ? m_startedAt : bucket.updatedAt));
     const double rate = team->ratePerS * std::max(0.0, 1 - bucket.reserved);
     bucket.level = std::min(std::max(team->burst, 1.0), bucket.level + elapsedMs * rate / msPerSecond);
     bucket.updatedAt = now;
--- a/packages/meshcontrol/fleetregistry.h
+++ b/packages/meshcontrol/fleetregistry.h
@@ -15,6 +15,12 @@
 class FleetRegistry
 {
 public:
+    /// @param startedAt begin of the term; tokens of the time before belong to former leaders.
+    explicit FleetRegistry(TimeMs startedAt)
+        : m_startedAt(startedAt)
+    {
+    }
+
     /// Takes the report of a node. Returns true if the directory changed.
     bool report(const SyncMessage &message, TimeMs now);
     /// Removes nodes that were silent for too long. Returns true if the directory changed.
@@ -50,6 +56,7 @@
         std::vector<UpstreamEntry> upstreams;
         std::map<std::string, TeamPart> teams;
     };
+    TimeMs m_startedAt;
     std::map<std::string, Node> m_nodes; ///< by peer address
     std::map<std::string, Bucket> m_buckets; ///< by team
     std::shared_ptr<const FleetConfig> m_config;
--- a/packages/meshcontrol/meshcontrol.cpp
+++ b/packages/meshcontrol/meshcontrol.cpp
@@ -1,5 +1,6 @@
 #include "meshcontrol.h"
 
+#include "base/compress.h"
 #include "base/metrics.h"
 #include "base/secret.h"
 #include "controlgroup.h"
@@ -62,6 +63,7 @@
     void answerSubmission(const ExchangePtr &exchange, const Submission &submission, SubmissionResult result);
     void answerMetrics(const ExchangePtr &exchange);
     void loadRates();
+    const std::string &packedDocument();
     std::string leaderAddress() const;
 
     MeshSettings m_settings;
@@ -81,6 +83,8 @@
     std::map<std::uint64_t, Session> m_sessions;
     std::uint64_t m_lastLink = 0;
     std::map<std::uint64_t, SubmissionResult> m_results; ///< of entries proposed here
+    std::string m_packedDocument; ///< compressed, of log index m_packedIndex
+    std::uint64_t m_packedIndex = 0;
     std::string m_leaderHint; ///< leader as another control host named it
     bool m_leads = false;
     TimeMs m_leadsSince = 0;
@@ -97,6 +101,7 @@
     , m_log(m_loop.clock(), settings.name, "-")
     , m_links(m_loop, settings.hostIp)
     , m_group(m_loop, m_links, m_log, m_settings)
+    , m_registry(m_loop.clock().now())
     , m_operators(m_loop,
                   [this](const ExchangePtr &exchange) {
                       operatorCall(exchange);
@@ -144,7 +149,7 @@
     m_group.onLeadership = [this](bool leads) {
         m_leads = leads;
         m_leadsSince = m_loop.clock().now();
-        m_registry = FleetRegistry();
+        m_registry = FleetRegistry(m_leadsSince);
         m_levels = LevelController();
         loadRates();
         m_results.clear();
@@ -319,6 +324,15 @@
     session.link->send(FrameType::SyncReply, encode(reply));
 }
 
+const std::string &ControlHost::packedDocument()
+{
+    if (m_packedIndex != m_store.index()) {
+        m_packedIndex = m_store.index();
+        m_packedDocument = compress(m_store.document());
+    }
+    return m_packedDocument;
+}
+
 // The leader needs the teams' rates.
 void ControlHost::loadRates()
 {
@@ -346,7 +360,7 @@
     reply.directoryVersion = m_directoryVersion;
     if (session.configIndex < m_store.index()) {
         reply.hasDocument = true;
-        reply.document = m_store.document();
+        reply.document = packedDocument();
         session.configIndex = m_store.index();
     }
     const bool collected = m_loop.clock().now() - m_leadsSince > collectMs;
--- a/packages/meshnode/meshnode.cpp
+++ b/packages/meshnode/meshnode.cpp
@@ -1,6 +1,8 @@
 #include "meshnode.h"
 
+#include "base/compress.h"
 #include "callbroker.h"
+#include "healthprobe.h"
 #include "leaderclient.h"
 
 #include <algorithm>
@@ -18,6 +20,10 @@
 // Kept back from the time to stop, for the last answers to leave.
 constexpr TimeMs exitMarginMs = 250;
 constexpr TimeMs drainCheckMs = 50;
+// Questions for the health of an upstream that has not announced itself since the start of this process.
+constexpr int maxProbes = 4;
+constexpr TimeMs probePeriodMs = 300;
+constexpr std::size_t maxDocumentBytes = 128U << 20U;
 // Changes of state within this time go out together.
 constexpr TimeMs statusDelayMs = 5;
 
@@ -43,6 +49,7 @@
     void stateChanged();
     void sendStatus();
     void noteProof();
+    void probeUpstream();
     void drain();
     void checkDrained();
     bool isReady() const;
@@ -57,6 +64,8 @@
     UpstreamPort m_upstreams;
     CallBroker m_broker;
     LeaderClient m_leader;
+    HealthProbe m_probe;
+    int m_probesLeft = maxProbes;
     HttpPort m_callers;
     HttpPort m_readiness;
     HttpPort m_announcements;
@@ -64,6 +73,7 @@
     TcpListener m_peers;
     std::map<std::uint64_t, std::shared_ptr<FrameLink>> m_peerLinks;
     std::uint64_t m_lastLink = 0;
+    std::shared_ptr<const FleetConfig> m_config;
     std::uint64_t m_configIndex = 0;
     std::uint64_t m_directoryVersion = 0;
     std::uint64_t m_directoryTerm = 0;
@@ -84,6 +94,7 @@
     , m_broker(m_loop, dialect, m_log, m_metrics, {settings.service, settings.domain, settings.peerAddress}, settings.terms, m_upstreams, m_links,
                Random(std::hash<std::string>()(settings.name) ^ static_cast<std::uint64_t>(m_loop.clock().wall())))
     , m_leader(m_loop, m_links, m_log, settings.seeds)
+    , m_probe(m_loop, dialect)
     , m_callers(m_loop,
                 [this](const auto &exchange) {
                     m_broker.handle(exchange);
@@ -125,6 +136,9 @@
         }
         return link != nullptr;
     };
+    m_probe.onHealthy = [this](const std::string &id, int slots) {
+        m_upstreams.found(id, m_settings.upstreamAddress, slots);
+    };
     m_leader.report = [this] {
         return report();
     };
@@ -293,20 +307,42 @@
     }
     const auto config = std::make_shared<FleetConfig>();
     Findings findings;
-    m_dialect.readDocument(reply.document, *config, findings);
+    std::string document;
+    if (!decompress(reply.document, maxDocumentBytes, document)) {
+        malformed("configuration");
+        return;
+    }
+    m_dialect.readDocument(document, *config, findings);
     if (!findings.empty()) {
         m_log.write(Event::ManifestRefused, {{"index", std::to_string(reply.configIndex)}, {"findings", toText(findings)}});
         return;
     }
     m_configIndex = reply.configIndex;
     m_configVersion = config->version;
+    m_config = config;
     m_broker.setConfig(config);
     m_upstreams.setConfig(config);
     m_callers.setLimits({config->limits.maxHeaderBytes, config->limits.maxBodyBytes}, {config->limits.headerTimeoutMs, config->limits.idleTimeoutMs});
+    if (m_probesLeft == maxProbes) {
+        probeUpstream();
+    }
     m_log.write(Event::StateApplied,
                 {{"index", std::to_string(m_configIndex)}, {"config", std::to_string(config->version)}, {"routes", std::to_string(config->routes.size())}});
 }
 
+void Node::probeUpstream()
+{
+    const ServiceSpec *spec = m_config->service(m_settings.service);
+    if (m_probesLeft <= 0 || m_upstreams.knowsUpstream() || m_settings.upstreamAddress.empty() || !spec || spec->healthPath.empty()) {
+        return;
+    }
+    --m_probesLeft;
+    m_probe.ask(m_settings.upstreamAddress, spec->healthPath, m_settings.hostIp);
+    m_loop.after(probePeriodMs, [this] {
+        probeUpstream();
+    });
+}
+
 void Node::announced(const std::shared_ptr<PortExchange> &exchange)
 {
     std::string error;
--- a/packages/meshnode/upstreamport.cpp
+++ b/packages/meshnode/upstreamport.cpp
@@ -85,7 +85,7 @@
     }
     Upstream &upstream = m_upstreams[announcement.id];
     const bool known = upstream.heardAtMs > 0;
-    const bool restarted = known && announcement.startedAt > upstream.info.startedAt;
+    const bool restarted = known && upstream.info.startedAt > 0 && announcement.startedAt > upstream.info.startedAt;
     if (known && !restarted && (announcement.startedAt < upstream.info.startedAt || announcement.sequence <= upstream.info.sequence)) {
         return false;
     }
@@ -131,6 +131,20 @@
     return true;
 }
 
+void UpstreamPort::found(const std::string &id, const std::string &address, int slots)
+{
+    if (knowsUpstream()) {
+        return;
+    }
+    Announcement announcement;
+    announcement.id = id;
+    announcement.service = m_identity.service;
+    announcement.address = address;
+    announcement.domain = m_identity.domain;
+    announcement.slots = slots;
+    announce(announcement);
+}
+
 std::string UpstreamPort::refusalReason(const Upstream *upstream, const CallMessage &message) const
 {
     if (!upstream) {
--- a/packages/meshnode/upstreamport.h
+++ b/packages/meshnode/upstreamport.h
@@ -35,6 +35,13 @@
     void setConfig(std::shared_ptr<const FleetConfig> config);
     /// Takes an announcement. Returns false if it is outdated or not of this host's service.
     bool announce(const Announcement &announcement);
+    /// Takes an upstream that answered a health question, unless one has announced itself.
+    void found(const std::string &id, const std::string &address, int slots);
+    /// True if an upstream is known, whatever its state.
+    bool knowsUpstream() const
+    {
+        return !m_upstreams.empty();
+    }
     /// Offers a call. @p reply is called once, perhaps inside this function.
     void offer(CallMessage message, std::uint64_t owner, ReplyHandler reply);
     /// The caller left: a waiting call is dropped, a running one is broken off if it is idempotent. No reply follows.
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -5,5 +5,5 @@
 apt-get install -y -qq --no-install-recommends \
     g++ cmake ninja-build pkg-config clang-format clang-tidy extra-cmake-modules \
     libace-dev libjsonrpccpp-dev libjsoncpp-dev libboost-dev libboost-program-options-dev libboost-test-dev \
-    liblog4cplus-dev libmicrohttpd-dev libcurl4-openssl-dev librapidcheck-dev libssl-dev libxxhash-dev libinih-dev libhttp-parser-dev libmsgpack-cxx-dev curl \
+    liblog4cplus-dev libmicrohttpd-dev libcurl4-openssl-dev librapidcheck-dev libssl-dev libxxhash-dev libinih-dev zlib1g-dev libhttp-parser-dev libmsgpack-cxx-dev curl \
     > /dev/null
--- a/tests/meshcontrol/meshcontroltest.cpp
+++ b/tests/meshcontrol/meshcontroltest.cpp
@@ -86,7 +86,7 @@
 // Guards against nodes that keep receiving calls after they have gone.
 BOOST_AUTO_TEST_CASE(silentNodeLeavesTheDirectory)
 {
-    FleetRegistry registry;
+    FleetRegistry registry(0);
     BOOST_TEST(registry.report(nodeReport("a", 1), 1'000));
     BOOST_TEST(!registry.report(nodeReport("a", 1), 1'250));
     BOOST_TEST(registry.report(nodeReport("b", 1), 1'300));
@@ -106,7 +106,7 @@
         constexpr double burst = 40;
         constexpr TimeMs window = 5'000;
         Random random(seed);
-        FleetRegistry registry;
+        FleetRegistry registry(0);
         registry.setConfig(rateOf(rate, burst));
         std::deque<std::pair<TimeMs, double>> grants;
         double inWindow = 0;
@@ -136,7 +136,7 @@
 // Guards against a rate that is used twice: by the leader's tokens and by a node that lost contact and uses its share.
 BOOST_AUTO_TEST_CASE(shareOfASilentNodeIsReserved)
 {
-    FleetRegistry registry;
+    FleetRegistry registry(0);
     registry.setConfig(rateOf(100, 1));
     registry.report(nodeReport("a", 50), 1);
     registry.report(nodeReport("b", 50), 1);
