Upstreams that take longer for calls of a kind are used less

Cause: upstreams of a service differ in speed by up to three, and slow ones cost calls with a tight goal their worth (thermal uploads late at the slow archive). Nodes tell with each answer their smoothed time for calls of the kind.

--- a/apps/yuccagraded/main.cpp
+++ b/apps/yuccagraded/main.cpp
@@ -32,7 +32,8 @@
     po::options_description options(
         "Usage: yuccagraded [--settings] FILE\n\nExit codes: 0 drained, 1 cannot start, 2 usage, 3 findings in the settings\n\nOptions");
     options.add_options()("settings", po::value<std::string>(), "INI file with the settings of this process")(
-        "platform", "run on the users' platform, which names the settings file")("help", "show this text")("version", "show the version");
+        "platform",
+        "run on the users' platform, which names the settings file")("help", "show this text")("version", "show the version");
     try {
         po::variables_map values;
         po::positional_options_description positional;
--- a/packages/base/compress.cpp
+++ b/packages/base/compress.cpp
@@ -27,8 +27,7 @@
     for (std::size_t size = std::min(firstBufferBytes, maxBytes); size <= maxBytes; size *= 2) {
         result.resize(size);
         uLongf length = size;
-        const int status =
-            ::uncompress(reinterpret_cast<Bytef *>(result.data()), &length, reinterpret_cast<const Bytef *>(data.data()), data.size());
+        const int status = ::uncompress(reinterpret_cast<Bytef *>(result.data()), &length, reinterpret_cast<const Bytef *>(data.data()), data.size());
         if (status == Z_OK) {
             result.resize(length);
             return true;
--- a/packages/mesh/meshsettings.cpp
+++ b/packages/mesh/meshsettings.cpp
@@ -35,10 +35,26 @@
     Option{.name = "found-group", .type = Choice, .choices = "true|false", .fallback = "false", .help = "Control: all hosts start for the first time."},
     Option{.name = "seeds", .type = AddressList, .required = true, .help = "Addresses of control hosts; their port is replaced by peer-port."},
     Option{.name = "tolerated-hosts", .type = Integer, .minimum = 0, .maximum = 3, .fallback = "1", .help = "Control hosts whose loss is survived."},
-    Option{.name = "withdrawal-s", .type = Real, .unit = "s", .minimum = 0.5, .maximum = maxSeconds, .fallback = "5", .help = "A withdrawn key works no longer."},
+    Option{.name = "withdrawal-s",
+           .type = Real,
+           .unit = "s",
+           .minimum = 0.5,
+           .maximum = maxSeconds,
+           .fallback = "5",
+           .help = "A withdrawn key works no longer."},
     Option{.name = "stop-s", .type = Real, .unit = "s", .minimum = 0.5, .maximum = maxSeconds, .fallback = "6", .help = "Time from SIGTERM to the end."},
-    Option{.name = "retry-ratio", .type = Real, .minimum = 0, .maximum = 1, .fallback = "0.2", .help = "Repeated sends per request of a service, all nodes together."},
-    Option{.name = "retry-per-window", .type = Real, .minimum = 0, .maximum = 1e6, .fallback = "20", .help = "Further repeated sends of a service in each window."},
+    Option{.name = "retry-ratio",
+           .type = Real,
+           .minimum = 0,
+           .maximum = 1,
+           .fallback = "0.2",
+           .help = "Repeated sends per request of a service, all nodes together."},
+    Option{.name = "retry-per-window",
+           .type = Real,
+           .minimum = 0,
+           .maximum = 1e6,
+           .fallback = "20",
+           .help = "Further repeated sends of a service in each window."},
     Option{.name = "retry-window-s", .type = Real, .unit = "s", .minimum = 0.1, .maximum = maxSeconds, .fallback = "10", .help = "Length of the window."},
 };
 
@@ -110,7 +126,7 @@
         return {};
     }
     const IniSection &section = found.front();
-    const MeshSettings settings = convert(section);
+    MeshSettings settings = convert(section);
     if (settings.role == HostRole::Node) {
         requireFor(section, settings.role, {"caller-address", "readiness-address", "announcement-address", "service"}, file, findings);
     } else {
--- a/packages/mesh/messages.cpp
+++ b/packages/mesh/messages.cpp
@@ -24,12 +24,22 @@
 }
 auto fields(Is<CallMessage> auto &m)
 {
-    return std::tie(m.callId, m.upstreamId, m.service, m.requestId, m.head, m.body, m.timeLeftMs, m.latencyGoalMs, m.priority, m.nested, m.idempotent,
-                    m.headOnly, m.offeredBefore);
+    return std::tie(m.callId,
+                    m.upstreamId,
+                    m.service,
+                    m.requestId,
+                    m.head,
+                    m.body,
+                    m.timeLeftMs,
+                    m.latencyGoalMs,
+                    m.priority, m.kind,                     m.nested,
+                    m.idempotent,
+                    m.headOnly,
+                    m.offeredBefore);
 }
 auto fields(Is<ReplyMessage> auto &m)
 {
-    return std::tie(m.callId, m.outcome, m.status, m.head, m.body, m.reason, m.load);
+    return std::tie(m.callId, m.outcome, m.status, m.head, m.body, m.reason, m.serviceMs, m.load);
 }
 auto fields(Is<CancelMessage> auto &m)
 {
@@ -65,13 +75,36 @@
 }
 auto fields(Is<SyncMessage> auto &m)
 {
-    return std::tie(m.sequence, m.name, m.peerAddress, m.operatorAddress, m.diskId, m.configIndex, m.directoryVersion, m.directoryTerm, m.upstreams,
-                    m.demand, m.service, m.load, m.calledServices);
+    return std::tie(m.sequence,
+                    m.name,
+                    m.peerAddress,
+                    m.operatorAddress,
+                    m.diskId,
+                    m.configIndex,
+                    m.directoryVersion,
+                    m.directoryTerm,
+                    m.upstreams,
+                    m.demand,
+                    m.service,
+                    m.load,
+                    m.calledServices);
 }
 auto fields(Is<SyncReplyMessage> auto &m)
 {
-    return std::tie(m.sequence, m.leads, m.leaderAddress, m.proofAgeMs, m.configIndex, m.hasDocument, m.document, m.hasDirectory, m.directoryVersion,
-                    m.directoryTerm, m.directory, m.controlHosts, m.shares, m.levels);
+    return std::tie(m.sequence,
+                    m.leads,
+                    m.leaderAddress,
+                    m.proofAgeMs,
+                    m.configIndex,
+                    m.hasDocument,
+                    m.document,
+                    m.hasDirectory,
+                    m.directoryVersion,
+                    m.directoryTerm,
+                    m.directory,
+                    m.controlHosts,
+                    m.shares,
+                    m.levels);
 }
 auto fields(Is<ConsensusMessage> auto &m)
 {
--- a/packages/mesh/messages.h
+++ b/packages/mesh/messages.h
@@ -43,6 +43,7 @@
     double timeLeftMs = 0;
     double latencyGoalMs = 0;
     int priority = 0;
+    std::uint32_t kind = 0; ///< tells routes apart: calls of one kind take similar times
     bool nested = false; ///< made by an upstream while it serves another call
     bool idempotent = false;
     bool headOnly = false; ///< the response has no body (HEAD)
@@ -65,6 +66,7 @@
     std::string head; ///< status line and header without fields of the connection; of Answered
     std::string body;
     std::string reason; ///< why the call was not answered
+    double serviceMs = 0; ///< smoothed time of the upstream for calls of this kind; 0 if unknown
     LoadReport load;
 };
 
--- a/packages/meshcontrol/controlgroup.cpp
+++ b/packages/meshcontrol/controlgroup.cpp
@@ -64,8 +64,7 @@
     hooks.leadershipChanged = [this](const Leadership &leadership) {
         m_leadsSince = leadership.self ? m_loop.clock().now() : 0;
         const Event other = leadership.leader.empty() ? Event::LeaderLost : Event::LeaderFollowed;
-        m_log.write(leadership.self ? Event::LeaderElected : other,
-                    {{"term", std::to_string(leadership.term)}, {"leader", leadership.leader}});
+        m_log.write(leadership.self ? Event::LeaderElected : other, {{"term", std::to_string(leadership.term)}, {"leader", leadership.leader}});
         onLeadership(leadership.self);
     };
     hooks.groupChanged = [this](const std::vector<GroupMember> &members) {
@@ -215,7 +214,7 @@
     // A copy: a change of the group replaces the list of the log.
     const std::vector<GroupMember> members = m_replica->core()->log().members();
     const auto target = static_cast<std::size_t>(2 * m_settings.terms.toleratedHosts + 1);
-    const auto ignore = [](std::error_code, std::uint64_t) { };
+    const auto ignore = [](std::error_code, std::uint64_t) {};
     std::size_t live = 0;
     for (const GroupMember &member : members) {
         const auto host = m_hosts.find(member.id);
--- a/packages/meshcontrol/documentstore.cpp
+++ b/packages/meshcontrol/documentstore.cpp
@@ -82,12 +82,7 @@
     std::vector<std::string> digests;
     std::string packed;
     if (!parseJson(text, json)
-        || !JsonReader(json)
-                .read("version", loaded.m_version)
-                .read("index", loaded.m_index)
-                .read("document", packed)
-                .read("digests", digests)
-                .ok()
+        || !JsonReader(json).read("version", loaded.m_version).read("index", loaded.m_index).read("document", packed).read("digests", digests).ok()
         || !unpackText(packed, loaded.m_document)) {
         return false;
     }
--- a/packages/meshcontrol/meshcontrol.cpp
+++ b/packages/meshcontrol/meshcontrol.cpp
@@ -171,8 +171,7 @@
 
 int ControlHost::run()
 {
-    m_log.write(Event::ProcessStarted,
-                {{"role", "control"}, {"peer", m_settings.peerAddress}, {"config", std::to_string(m_store.version())}});
+    m_log.write(Event::ProcessStarted, {{"role", "control"}, {"peer", m_settings.peerAddress}, {"config", std::to_string(m_store.version())}});
     m_loop.onTerminate([this] {
         m_stopping = true;
         m_log.write(Event::DrainStarted);
@@ -495,7 +494,9 @@
     }
     const bool conflict = result == SubmissionResult::Conflict;
     m_log.write(Event::ManifestRefused,
-                {{"version", std::to_string(submission.version)}, {"base", std::to_string(submission.base)}, {"current", std::to_string(m_store.version())},
+                {{"version", std::to_string(submission.version)},
+                 {"base", std::to_string(submission.base)},
+                 {"current", std::to_string(m_store.version())},
                  {"cause", conflict ? "builds on another version" : "version is not above the current one"}});
     exchange->respond(responseHead(conflict ? 412 : 400), {});
 }
--- a/packages/meshnode/admissionlevel.cpp
+++ b/packages/meshnode/admissionlevel.cpp
@@ -13,7 +13,7 @@
 }
 
 AdmissionLevel::AdmissionLevel(Random random)
-    : m_random(std::move(random))
+    : m_random(random)
 {
 }
 
--- a/packages/meshnode/callbroker.cpp
+++ b/packages/meshnode/callbroker.cpp
@@ -95,6 +95,7 @@
 bool CallBroker::authorize(Call &call, const CallerRequest &request)
 {
     call.priority = call.route->priority;
+    call.kind = static_cast<std::uint32_t>(std::hash<std::string>()(call.route->name));
     call.nested = call.route->open;
     if (call.route->open || call.config->teams.empty()) {
         return true;
@@ -252,7 +253,9 @@
 bool CallBroker::dispatch(const CallPtr &call)
 {
     const UpstreamEntry *upstream = m_directory.choose(
-        call->service, call->tried,
+        call->service,
+        call->kind,
+        call->tried,
         [this](const std::string &address) {
             return address == m_identity.peerAddress || !m_links.isFailing(address);
         },
@@ -276,6 +279,7 @@
     message.timeLeftMs = call->deadlineMs - now();
     message.latencyGoalMs = static_cast<double>(call->route->latencyGoalMs);
     message.priority = call->priority;
+    message.kind = call->kind;
     message.nested = call->nested;
     message.idempotent = call->route->repeatability == Repeatability::Idempotent;
     message.headOnly = call->exchange->request().method == "HEAD";
@@ -360,6 +364,7 @@
     const bool heard = reply.load.limit > 0 || reply.outcome == CallOutcome::Answered;
     if (heard) {
         m_directory.noteLoad(call->upstreamId, reply.load, at);
+        m_directory.noteServiceTime(call->upstreamId, call->kind, reply.serviceMs, at);
     }
     if (!heard || reply.outcome == CallOutcome::MayHaveRun) {
         m_directory.noteFailure(call->upstreamId, at);
--- a/packages/meshnode/callbroker.h
+++ b/packages/meshnode/callbroker.h
@@ -32,8 +32,15 @@
         std::string peerAddress;
     };
 
-    CallBroker(EventLoop &loop, const Dialect &dialect, EventLog &log, Metrics &metrics, Identity identity, const FleetTerms &terms, UpstreamPort &local,
-               LinkPool &links, Random random);
+    CallBroker(EventLoop &loop,
+               const Dialect &dialect,
+               EventLog &log,
+               Metrics &metrics,
+               Identity identity,
+               const FleetTerms &terms,
+               UpstreamPort &local,
+               LinkPool &links,
+               Random random);
 
     /// Takes a caller's request.
     void handle(const std::shared_ptr<PortExchange> &exchange);
@@ -92,6 +99,7 @@
         std::string service;
         std::string head;
         int priority = 0;
+        std::uint32_t kind = 0; ///< of the route
         bool nested = false;
         double arrivedMs = 0;
         double deadlineMs = 0;
--- a/packages/meshnode/directory.cpp
+++ b/packages/meshnode/directory.cpp
@@ -1,6 +1,7 @@
 #include "directory.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace Yuccagrade::Mesh
@@ -13,6 +14,11 @@
 constexpr double coldFactor = 2;
 // A load report says nothing after this time; then only own calls count.
 constexpr double loadValidMs = 2'000;
+// Weight of the relative slowness against the load: an upstream that takes twice as long is used as one with this much
+// more load.
+constexpr double slownessWeight = 0.12;
+constexpr double maxSlowness = 5;
+constexpr double slownessFadeMs = 4'000;
 // Spread of the score, so that nodes with the same reports do not all choose the same upstream.
 constexpr double scoreJitter = 0.05;
 constexpr double avoidMs = 300;
@@ -22,7 +28,7 @@
 
 Directory::Directory(std::string domain, Random random)
     : m_domain(std::move(domain))
-    , m_random(std::move(random))
+    , m_random(random)
 {
 }
 
@@ -67,14 +73,39 @@
     return result + m_random.fraction() * scoreJitter;
 }
 
+double Directory::fastest(std::string_view service, std::uint32_t kind) const
+{
+    double best = 0;
+    for (const auto &[id, upstream] : m_upstreams) {
+        if (upstream.entry.service != service || upstream.entry.state != UpstreamState::Ready) {
+            continue;
+        }
+        const auto time = upstream.serviceTimes.find(kind);
+        if (time != upstream.serviceTimes.end() && (best == 0 || time->second.ms < best)) {
+            best = time->second.ms;
+        }
+    }
+    return best;
+}
+
+// How much longer the upstream takes than the fastest one. What was learned fades, so that a slow upstream is tried again.
+double Directory::slowness(const Upstream &upstream, std::uint32_t kind, double fastestMs, double nowMs) const
+{
+    const auto time = upstream.serviceTimes.find(kind);
+    if (time == upstream.serviceTimes.end() || fastestMs <= 0) {
+        return 0;
+    }
+    const double excess = std::min(time->second.ms / fastestMs - 1, maxSlowness);
+    return excess * std::exp(-(nowMs - time->second.atMs) / slownessFadeMs);
+}
+
 const UpstreamEntry *Directory::choose(std::string_view service,
-                                       const std::set<std::string> &tried,
-                                       const std::function<bool(const std::string &)> &reachable,
-                                       double nowMs)
+                                       std::uint32_t kind, const std::set<std::string> &tried, const std::function<bool(const std::string &)> &reachable, double nowMs)
 {
     const UpstreamEntry *best = nullptr;
     const UpstreamEntry *fallback = nullptr;
     double bestScore = std::numeric_limits<double>::max();
+    const double fastestMs = fastest(service, kind);
     for (const auto &[id, upstream] : m_upstreams) {
         if (upstream.entry.service != service || upstream.entry.state == UpstreamState::Draining || tried.contains(id)
             || !reachable(upstream.entry.peerAddress)) {
@@ -84,7 +115,7 @@
             fallback = &upstream.entry;
             continue;
         }
-        const double current = score(upstream, nowMs);
+        const double current = score(upstream, nowMs) + slowness(upstream, kind, fastestMs, nowMs) * slownessWeight;
         if (current < bestScore) {
             bestScore = current;
             best = &upstream.entry;
@@ -110,6 +141,14 @@
     }
 }
 
+void Directory::noteServiceTime(const std::string &upstreamId, std::uint32_t kind, double serviceMs, double nowMs)
+{
+    const auto found = m_upstreams.find(upstreamId);
+    if (found != m_upstreams.end() && serviceMs > 0) {
+        found->second.serviceTimes[kind] = {serviceMs, nowMs};
+    }
+}
+
 void Directory::noteLoad(const std::string &upstreamId, const LoadReport &load, double nowMs)
 {
     const auto found = m_upstreams.find(upstreamId);
--- a/packages/meshnode/directory.h
+++ b/packages/meshnode/directory.h
@@ -24,12 +24,14 @@
     void update(const std::vector<UpstreamEntry> &entries);
     /// Returns the upstream of @p service to which a call goes next, or null if none can take it. Upstreams in
     /// @p tried are left out, and so are those whose node is not @p reachable.
-    const UpstreamEntry *choose(std::string_view service,
-                                const std::set<std::string> &tried,
-                                const std::function<bool(const std::string &peerAddress)> &reachable,
-                                double nowMs);
+    const UpstreamEntry *
+    choose(std::string_view service,
+                                std::uint32_t kind,
+                                const std::set<std::string> &tried, const std::function<bool(const std::string &peerAddress)> &reachable, double nowMs);
     void noteSent(const std::string &upstreamId);
     void noteDone(const std::string &upstreamId);
+    /// Takes the time that an upstream needs for calls of a kind.
+    void noteServiceTime(const std::string &upstreamId, std::uint32_t kind, double serviceMs, double nowMs);
     /// Takes the load that came with an answer.
     void noteLoad(const std::string &upstreamId, const LoadReport &load, double nowMs);
     /// A call could not be sent or got no answer: the upstream is avoided for a while.
@@ -40,8 +42,13 @@
     }
 
 private:
+    struct ServiceTime {
+        double ms = 0;
+        double atMs = 0;
+    };
     struct Upstream {
         UpstreamEntry entry;
+        std::map<std::uint32_t, ServiceTime> serviceTimes; ///< by kind of call
         LoadReport load;
         double loadAtMs = 0;
         double coldUntilMs = 0;
@@ -51,6 +58,8 @@
         int sentSinceLoad = 0; ///< calls that the last report does not contain
     };
     double score(const Upstream &upstream, double nowMs);
+    double slowness(const Upstream &upstream, std::uint32_t kind, double fastestMs, double nowMs) const;
+    double fastest(std::string_view service, std::uint32_t kind) const;
 
     std::string m_domain;
     Random m_random;
--- a/packages/meshnode/meshnode.cpp
+++ b/packages/meshnode/meshnode.cpp
@@ -91,7 +91,14 @@
     , m_log(m_loop.clock(), settings.name, "-")
     , m_links(m_loop, settings.hostIp)
     , m_upstreams(m_loop, dialect, m_log, m_metrics, {settings.domain, settings.service, settings.peerAddress, settings.hostIp})
-    , m_broker(m_loop, dialect, m_log, m_metrics, {settings.service, settings.domain, settings.peerAddress}, settings.terms, m_upstreams, m_links,
+    , m_broker(m_loop,
+               dialect,
+               m_log,
+               m_metrics,
+               {settings.service, settings.domain, settings.peerAddress},
+               settings.terms,
+               m_upstreams,
+               m_links,
                Random(std::hash<std::string>()(settings.name) ^ static_cast<std::uint64_t>(m_loop.clock().wall())))
     , m_leader(m_loop, m_links, m_log, settings.seeds)
     , m_probe(m_loop, dialect)
--- a/packages/meshnode/upstreamconnection.cpp
+++ b/packages/meshnode/upstreamconnection.cpp
@@ -34,8 +34,7 @@
 {
 }
 
-std::shared_ptr<UpstreamConnection>
-UpstreamConnection::open(EventLoop &loop, const Dialect &dialect, const std::string &address, const std::string &sourceIp)
+std::shared_ptr<UpstreamConnection> UpstreamConnection::open(EventLoop &loop, const Dialect &dialect, const std::string &address, const std::string &sourceIp)
 {
     auto stream = TcpStream::connect(loop, address, sourceIp);
     if (!stream) {
--- a/packages/meshnode/upstreamport.cpp
+++ b/packages/meshnode/upstreamport.cpp
@@ -23,6 +23,7 @@
 constexpr double deadlineGraceMs = 60;
 // Weight of a new value in the smoothed times.
 constexpr double smoothing = 0.05;
+constexpr double kindSmoothing = 0.1; // kinds of calls are seen less often
 constexpr double demandSmoothing = 0.4; // of the demand in each report
 // An upstream that was silent for this time is forgotten.
 constexpr double forgetAfterMs = 60'000;
@@ -113,7 +114,9 @@
     }
     if (!known || restarted) {
         m_log.write(Event::UpstreamAnnounced,
-                    {{"upstream", announcement.id}, {"service", announcement.service}, {"address", announcement.address},
+                    {{"upstream", announcement.id},
+                     {"service", announcement.service},
+                     {"address", announcement.address},
                      {"slots", std::to_string(announcement.slots)}});
     }
     setReachable(announcement.id, upstream, true, "announced");
@@ -268,6 +271,9 @@
         const double took = now() - connection->sentAtMs();
         if (reply.outcome == CallOutcome::Answered) {
             upstream.serviceMs += (took - upstream.serviceMs) * smoothing;
+            double &ofKind = upstream.serviceMsOfKind.emplace(call.message.kind, took).first->second;
+            ofKind += (took - ofKind) * kindSmoothing;
+            reply.serviceMs = ofKind;
         }
         upstream.heardAtMs = now();
         m_metrics.sample("upstream_service_ms", took);
@@ -405,7 +411,12 @@
     for (const auto &[id, upstream] : m_upstreams) {
         if (upstream.heardAtMs > 0 && !upstream.departed) {
             const double coldLeft = std::max(0.0, upstream.info.coldLeftMs - (now() - upstream.heardAtMs));
-            result.push_back({id, upstream.info.service, m_identity.domain, m_identity.peerAddress, stateOf(upstream), upstream.info.slots,
+            result.push_back({id,
+                              upstream.info.service,
+                              m_identity.domain,
+                              m_identity.peerAddress,
+                              stateOf(upstream),
+                              upstream.info.slots,
                               std::round(coldLeft / 1'000) * 1'000});
         }
     }
--- a/packages/meshnode/upstreamport.h
+++ b/packages/meshnode/upstreamport.h
@@ -66,6 +66,7 @@
         int offered = 0; ///< calls since the last measurement
         double offeredSlots = 0; ///< smoothed
         double serviceMs = 0; ///< smoothed time to answer
+        std::map<std::uint32_t, double> serviceMsOfKind; ///< the same by kind of call
         int active = 0;
         UpstreamQueue queue;
         std::list<std::shared_ptr<UpstreamConnection>> connections; ///< most recently used first
--- a/packages/net/httpport.cpp
+++ b/packages/net/httpport.cpp
@@ -202,12 +202,11 @@
 HttpPort::HttpPort(EventLoop &loop, Handler handler)
     : m_loop(loop)
     , m_handler(std::move(handler))
-    , m_listener(loop,
-                 [this](std::shared_ptr<TcpStream> stream) {
-                     const auto connection = std::make_shared<HttpPortConnection>(*this, std::move(stream));
-                     m_connections.insert(connection);
-                     connection->start();
-                 })
+    , m_listener(loop, [this](std::shared_ptr<TcpStream> stream) {
+        const auto connection = std::make_shared<HttpPortConnection>(*this, std::move(stream));
+        m_connections.insert(connection);
+        connection->start();
+    })
 {
     m_timer = loop.every(checkPeriodMs, [this] {
         checkTimes();
--- a/packages/net/httpreader.cpp
+++ b/packages/net/httpreader.cpp
@@ -9,8 +9,8 @@
 {
 namespace
 {
-constexpr std::array<std::string_view, 8> connectionFields{"connection", "keep-alive", "proxy-connection", "te",
-                                                           "trailer",    "upgrade",    "transfer-encoding", "content-length"};
+constexpr std::array<std::string_view, 8>
+    connectionFields{"connection", "keep-alive", "proxy-connection", "te", "trailer", "upgrade", "transfer-encoding", "content-length"};
 
 HttpReader &readerOf(http_parser *parser)
 {
@@ -83,8 +83,7 @@
         }
         message.keepAlive = http_should_keep_alive(parser) != 0;
         const bool bodyless = message.status / 100 == 1 || message.status == 204 || message.status == 304 || reader.m_noBody;
-        message.untilClose =
-            reader.m_kind == HttpReader::Kind::Response && !bodyless && (parser->flags & (F_CHUNKED | F_CONTENTLENGTH)) == 0;
+        message.untilClose = reader.m_kind == HttpReader::Kind::Response && !bodyless && (parser->flags & (F_CHUNKED | F_CONTENTLENGTH)) == 0;
         reader.m_headerComplete = true;
         if ((parser->flags & F_CONTENTLENGTH) != 0 && parser->content_length > reader.m_limits.maxBodyBytes) {
             reader.m_state = HttpReader::State::BodyTooLarge;
--- a/tests/mesh/meshtest.cpp
+++ b/tests/mesh/meshtest.cpp
@@ -105,19 +105,20 @@
 // Guards against a crash by forged or cut bytes of a peer.
 BOOST_AUTO_TEST_CASE(decodersAcceptArbitraryBytes, *utf::label("property"))
 {
-    BOOST_TEST(rc::check("decoding random and cut bytes neither throws nor succeeds by accident on a cut message", [](const std::string &bytes, unsigned cutAt) {
-        CallMessage call;
-        SyncMessage sync;
-        SyncReplyMessage reply;
-        decode(bytes, call);
-        decode(bytes, sync);
-        decode(bytes, reply);
-        ReplyMessage whole;
-        whole.body = bytes;
-        const std::string text = encode(whole);
-        ReplyMessage cut;
-        RC_ASSERT(!decode(text.substr(0, cutAt % text.size()), cut));
-    }));
+    BOOST_TEST(
+        rc::check("decoding random and cut bytes neither throws nor succeeds by accident on a cut message", [](const std::string &bytes, unsigned cutAt) {
+            CallMessage call;
+            SyncMessage sync;
+            SyncReplyMessage reply;
+            decode(bytes, call);
+            decode(bytes, sync);
+            decode(bytes, reply);
+            ReplyMessage whole;
+            whole.body = bytes;
+            const std::string text = encode(whole);
+            ReplyMessage cut;
+            RC_ASSERT(!decode(text.substr(0, cutAt % text.size()), cut));
+        }));
 }
 
 // Guards against an enumerator outside its name table.
@@ -173,7 +174,7 @@
     EventLoop loop;
     LinkPool pool(loop, {});
     bool connected = true;
-    pool.onFrame = [](const std::string &, FrameType, std::string_view) { };
+    pool.onFrame = [](const std::string &, FrameType, std::string_view) {};
     pool.isBusy = [](const std::string &) {
         return true;
     };
--- a/tests/meshcontrol/controlgrouptest.cpp
+++ b/tests/meshcontrol/controlgrouptest.cpp
@@ -36,11 +36,11 @@
                 applied.insert(command.asString());
             }
         };
-        group.onRestore = [](std::uint64_t, const std::string &) { };
+        group.onRestore = [](std::uint64_t, const std::string &) {};
         group.saveState = [] {
             return std::string();
         };
-        group.onLeadership = [](bool) { };
+        group.onLeadership = [](bool) {};
         links.onFrame = [this](const std::string &, FrameType, std::string_view payload) {
             ConsensusMessage response;
             if (decode(payload, response)) {
@@ -176,7 +176,7 @@
     fleet.runUntil([&] {
         return fleet.leader() != nullptr;
     });
-    fleet.leader()->group.replica().propose(Json::Value("kept"), [](std::error_code, std::uint64_t) { });
+    fleet.leader()->group.replica().propose(Json::Value("kept"), [](std::error_code, std::uint64_t) {});
     fleet.runUntil([&] {
         return fleet.hosts[0]->applied.contains("kept") && fleet.hosts[1]->applied.contains("kept") && fleet.hosts[2]->applied.contains("kept");
     });
--- a/tests/meshnode/upstreamtest.cpp
+++ b/tests/meshnode/upstreamtest.cpp
@@ -153,7 +153,9 @@
 BOOST_AUTO_TEST_CASE(lateAnswerOfAnotherRequestIsSkipped)
 {
     Bench bench;
-    ScriptedUpstream upstream(bench.loop, {response("a", "A"), response("a", "A again") + response("b", "B"), response("c", "C")}, ScriptedUpstream::Then::Keep);
+    ScriptedUpstream upstream(bench.loop,
+                              {response("a", "A"), response("a", "A again") + response("b", "B"), response("c", "C")},
+                              ScriptedUpstream::Then::Keep);
     bench.port.announce(bench.heartbeat(upstream.address()));
     BOOST_TEST(bench.run("a").body == "A");
     BOOST_TEST(bench.run("b").body == "B");
@@ -167,7 +169,8 @@
 {
     Bench bench;
     const std::string whole = response("a", "0123456789");
-    ScriptedUpstream cut(bench.loop, {whole.substr(0, whole.size() - 3), response("b", "B", ""), "garbage\r\n\r\n", "HTTP/1.1 200 OK\r\nX-Id: d\r\nX-Receipt: 1\r\n\r\nD"},
+    ScriptedUpstream cut(bench.loop,
+                         {whole.substr(0, whole.size() - 3), response("b", "B", ""), "garbage\r\n\r\n", "HTTP/1.1 200 OK\r\nX-Id: d\r\nX-Receipt: 1\r\n\r\nD"},
                          ScriptedUpstream::Then::Close);
     bench.port.announce(bench.heartbeat(cut.address()));
     BOOST_TEST((bench.run("a").outcome == CallOutcome::MayHaveRun));
@@ -206,7 +209,9 @@
 BOOST_AUTO_TEST_CASE(declinedCallHasNotRun)
 {
     Bench bench;
-    ScriptedUpstream upstream(bench.loop, {response("a", "", "X-Not-Run: 1\r\n", 503), response("b", "x", "X-Receipt: 1\r\n", 500)}, ScriptedUpstream::Then::Keep);
+    ScriptedUpstream upstream(bench.loop,
+                              {response("a", "", "X-Not-Run: 1\r\n", 503), response("b", "x", "X-Receipt: 1\r\n", 500)},
+                              ScriptedUpstream::Then::Keep);
     bench.port.announce(bench.heartbeat(upstream.address()));
     BOOST_TEST((bench.run("a").outcome == CallOutcome::Declined));
     const ReplyMessage failed = bench.run("b");
@@ -288,7 +293,7 @@
     bench.port.offer(idempotent, 7, [](const ReplyMessage &) {
         BOOST_ERROR("a cancelled call has no reply");
     });
-    bench.port.offer(once, 7, [](const ReplyMessage &) { });
+    bench.port.offer(once, 7, [](const ReplyMessage &) {});
     bench.port.cancel(7, idempotent.callId);
     bench.port.cancel(7, once.callId);
     BOOST_TEST(bench.port.pending() == 1U);
--- a/tests/net/porttest.cpp
+++ b/tests/net/porttest.cpp
@@ -71,8 +71,10 @@
 // Guards against request smuggling: a message with two lengths could be read differently by the upstream.
 BOOST_AUTO_TEST_CASE(readerRefusesAmbiguousLengths)
 {
-    for (const std::string &fields : {std::string("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n"), std::string("Content-Length: 3\r\nContent-Length: 4\r\n"),
-                                      std::string("Content-Length: x\r\n"), std::string("Bad Name: 1\r\n")}) {
+    for (const std::string &fields : {std::string("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n"),
+                                      std::string("Content-Length: 3\r\nContent-Length: 4\r\n"),
+                                      std::string("Content-Length: x\r\n"),
+                                      std::string("Bad Name: 1\r\n")}) {
         HttpReader reader(HttpReader::Kind::Request);
         reader.read("POST /a/ HTTP/1.1\r\nHost: h\r\n" + fields + "\r\nabc");
         BOOST_TEST((reader.state() == HttpReader::State::Malformed));
--- a/tests/platform/platformtest.cpp
+++ b/tests/platform/platformtest.cpp
@@ -132,17 +132,29 @@
     request.method = "POST";
     request.target = "/p/x?q=%20";
     request.body = "abc";
-    request.fields = {{"Host", "a.example"}, {"Authorization", "Bearer k1"}, {"x-yuccagrade-tenant", "forged"}, {"X-Yuccagrade-Caller-Service", "forged"},
-                      {"X-Yuccagrade-Request-Id", "9c41"}, {"X-Yuccagrade-Deadline-Ms", "5000"}, {"Connection", "keep-alive, X-Hop"}, {"X-Hop", "1"},
-                      {"X-Kept", "2"}, {"Transfer-Encoding", "chunked"}};
+    request.fields = {{"Host", "a.example"},
+                      {"Authorization", "Bearer k1"},
+                      {"x-yuccagrade-tenant", "forged"},
+                      {"X-Yuccagrade-Caller-Service", "forged"},
+                      {"X-Yuccagrade-Request-Id", "9c41"},
+                      {"X-Yuccagrade-Deadline-Ms", "5000"},
+                      {"Connection", "keep-alive, X-Hop"},
+                      {"X-Hop", "1"},
+                      {"X-Kept", "2"},
+                      {"Transfer-Encoding", "chunked"}};
     const CallerRequest read = dialect.readRequest(request);
     BOOST_TEST(read.key.value() == "k1");
     BOOST_TEST(read.timeLeftMs.value() == 5'000);
     BOOST_TEST(read.requestId == "9c41");
     const std::string head = dialect.renderCall(request, {"t1", "s1"}) + dialect.renderHop("i-7f", 1234.5);
     BOOST_TEST(head.starts_with("POST /p/x?q=%20 HTTP/1.1\r\n"));
-    for (const std::string &line : {"X-Yuccagrade-Tenant: t1\r\n", "X-Yuccagrade-Caller-Service: s1\r\n", "X-Yuccagrade-Target-Instance: i-7f\r\n",
-                                    "X-Yuccagrade-Deadline-Ms: 1234\r\n", "Content-Length: 3\r\n", "X-Kept: 2\r\n", "X-Yuccagrade-Request-Id: 9c41\r\n"}) {
+    for (const std::string &line : {"X-Yuccagrade-Tenant: t1\r\n",
+                                    "X-Yuccagrade-Caller-Service: s1\r\n",
+                                    "X-Yuccagrade-Target-Instance: i-7f\r\n",
+                                    "X-Yuccagrade-Deadline-Ms: 1234\r\n",
+                                    "Content-Length: 3\r\n",
+                                    "X-Kept: 2\r\n",
+                                    "X-Yuccagrade-Request-Id: 9c41\r\n"}) {
         BOOST_TEST(head.find(line) != std::string::npos, line);
     }
     for (const std::string &text : {"Bearer", "forged", "X-Hop", "chunked", "5000"}) {
