--- a/packages/base/metrics.cpp
+++ b/packages/base/metrics.cpp
@@ -7,6 +7,7 @@
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
 #include <cmath>
+#include <cstdint>
 #include <sstream>
 
 namespace Yuccagrade
@@ -15,6 +16,7 @@
 {
 namespace acc = boost::accumulators;
 constexpr std::array quantiles{0.5, 0.9, 0.99};
+constexpr std::array bucketBounds{1, 2, 5, 10, 20, 50, 100, 200, 500, 1'000, 2'000, 5'000, 10'000};
 // The P-square markers need a few samples before their estimates mean anything.
 constexpr std::size_t minSamples = 8;
 
@@ -25,11 +27,11 @@
     return labels.empty() ? name : name + '{' + labels + '}';
 }
 
-// Inserts the quantile label into `name` or `name{labels}`.
-std::string quantileName(const std::string &key, double quantile)
+// Inserts a label into `name` or `name{labels}`.
+std::string labelledName(const std::string &key, const char *labelName, double value)
 {
     std::ostringstream label;
-    label << "quantile=\"" << quantile << '"';
+    label << labelName << "=\"" << value << '"';
     const auto brace = key.find('{');
     return brace == std::string::npos ? key + '{' + label.str() + '}' : key.substr(0, key.size() - 1) + ',' + label.str() + '}';
 }
@@ -43,6 +45,7 @@
 
 struct Metrics::Summary {
     Accumulator values{acc::extended_p_square_probabilities = quantiles};
+    std::array<std::uint64_t, bucketBounds.size()> buckets{}; ///< samples up to each bound
 };
 
 Metrics::Metrics() = default;
@@ -65,6 +68,9 @@
         summary = std::make_unique<Summary>();
     }
     summary->values(value);
+    for (std::size_t i = bucketBounds.size(); i-- > 0 && value <= bucketBounds[i];) {
+        ++summary->buckets[i];
+    }
 }
 
 double Metrics::value(const std::string &name, const std::string &labels) const
@@ -89,9 +95,12 @@
     for (const auto &[name, summary] : m_summaries) {
         if (acc::count(summary->values) >= minSamples) {
             for (std::size_t i = 0; i < quantiles.size(); ++i) {
-                out << quantileName(name, quantiles[i]) << ' ' << acc::extended_p_square(summary->values)[i] << '\n';
+                out << labelledName(name, "quantile", quantiles[i]) << ' ' << acc::extended_p_square(summary->values)[i] << '\n';
             }
         }
+        for (std::size_t i = 0; i < bucketBounds.size(); ++i) {
+            out << labelledName(suffixedName(name, "_bucket"), "le", bucketBounds[i]) << ' ' << summary->buckets[i] << '\n';
+        }
         out << suffixedName(name, "_sum") << ' ' << acc::sum(summary->values) << '\n';
         out << suffixedName(name, "_count") << ' ' << acc::count(summary->values) << '\n';
     }
--- a/packages/base/metrics.h
+++ b/packages/base/metrics.h
@@ -6,7 +6,7 @@
 
 namespace Yuccagrade
 {
-/// Counters, gauges and quantile summaries of one process.
+/// Counters, gauges, quantile summaries and histograms of one process.
 class Metrics
 {
 public:
@@ -16,7 +16,8 @@
     /// Adds @p amount to the counter. @p labels is empty or of the form `team="a",route="b"`.
     void count(const std::string &name, const std::string &labels = {}, double amount = 1);
     void gauge(const std::string &name, double value, const std::string &labels = {});
-    /// Adds a sample to a summary with estimates of the 50th, 90th and 99th percentile (extended P-square).
+    /// Adds a sample, usually in ms, to a summary with estimates of the 50th, 90th and 99th percentile (extended P-square)
+    /// and to a histogram with the buckets 1, 2, 5, 10 and so on up to 10,000.
     void sample(const std::string &name, double value, const std::string &labels = {});
     /// Returns the value of a counter or gauge, 0 if it does not exist.
     double value(const std::string &name, const std::string &labels = {}) const;
--- a/packages/mesh/messages.cpp
+++ b/packages/mesh/messages.cpp
@@ -32,7 +32,9 @@
                     m.body,
                     m.timeLeftMs,
                     m.latencyGoalMs,
-                    m.priority, m.kind,                     m.nested,
+                    m.priority,
+                    m.kind,
+                    m.nested,
                     m.idempotent,
                     m.headOnly,
                     m.offeredBefore);
--- a/packages/meshcontrol/controlgroup.cpp
+++ b/packages/meshcontrol/controlgroup.cpp
@@ -213,7 +213,7 @@
     const TimeMs now = m_loop.clock().now();
     // A copy: a change of the group replaces the list of the log.
     const std::vector<GroupMember> members = m_replica->core()->log().members();
-    const auto target = static_cast<std::size_t>(2 * m_settings.terms.toleratedHosts + 1);
+    const auto target = 2 * static_cast<std::size_t>(m_settings.terms.toleratedHosts) + 1;
     const auto ignore = [](std::error_code, std::uint64_t) {};
     std::size_t live = 0;
     for (const GroupMember &member : members) {
--- a/packages/meshnode/directory.cpp
+++ b/packages/meshnode/directory.cpp
@@ -100,7 +100,10 @@
 }
 
 const UpstreamEntry *Directory::choose(std::string_view service,
-                                       std::uint32_t kind, const std::set<std::string> &tried, const std::function<bool(const std::string &)> &reachable, double nowMs)
+                                       std::uint32_t kind,
+                                       const std::set<std::string> &tried,
+                                       const std::function<bool(const std::string &)> &reachable,
+                                       double nowMs)
 {
     const UpstreamEntry *best = nullptr;
     const UpstreamEntry *fallback = nullptr;
--- a/packages/meshnode/directory.h
+++ b/packages/meshnode/directory.h
@@ -24,10 +24,11 @@
     void update(const std::vector<UpstreamEntry> &entries);
     /// Returns the upstream of @p service to which a call goes next, or null if none can take it. Upstreams in
     /// @p tried are left out, and so are those whose node is not @p reachable.
-    const UpstreamEntry *
-    choose(std::string_view service,
+    const UpstreamEntry *choose(std::string_view service,
                                 std::uint32_t kind,
-                                const std::set<std::string> &tried, const std::function<bool(const std::string &peerAddress)> &reachable, double nowMs);
+                                const std::set<std::string> &tried,
+                                const std::function<bool(const std::string &peerAddress)> &reachable,
+                                double nowMs);
     void noteSent(const std::string &upstreamId);
     void noteDone(const std::string &upstreamId);
     /// Takes the time that an upstream needs for calls of a kind.
--- a/packages/meshnode/meshnode.cpp
+++ b/packages/meshnode/meshnode.cpp
@@ -217,16 +217,14 @@
                 open->send(FrameType::Reply, encode(reply));
             }
         });
-    } else if (type == FrameType::Cancel) {
-        CancelMessage message;
-        if (decode(payload, message)) {
-            m_upstreams.cancel(linkId, message.callId);
-        } else {
-            malformed("peer link");
-        }
-    } else {
-        malformed("peer link");
+        return;
+    }
+    CancelMessage cancel;
+    if (type == FrameType::Cancel && decode(payload, cancel)) {
+        m_upstreams.cancel(linkId, cancel.callId);
+        return;
     }
+    malformed("peer link");
 }
 
 void Node::linkFrame(const std::string &address, FrameType type, std::string_view payload)
--- a/packages/meshnode/upstreamconnection.cpp
+++ b/packages/meshnode/upstreamconnection.cpp
@@ -18,7 +18,7 @@
     std::string head = "HTTP/1.1 " + std::to_string(message.status) + ' ' + message.reason + "\r\n";
     for (const auto &[name, value] : message.fields) {
         if (!isConnectionField(name)) {
-            head += name + ": " + value + "\r\n";
+            head.append(name).append(": ").append(value).append("\r\n");
         }
     }
     return head;
--- a/packages/meshnode/upstreamport.cpp
+++ b/packages/meshnode/upstreamport.cpp
@@ -76,7 +76,7 @@
         found->second.departed = true;
         m_log.write(Event::UpstreamDraining, {{"upstream", announcement.id}, {"cause", "departure"}});
         for (OfferedCall &call : found->second.queue.takeAll()) {
-            refuse(std::move(call), "upstream departed");
+            refuse(call, "upstream departed");
         }
         onStateChanged();
         return true;
@@ -122,7 +122,7 @@
     setReachable(announcement.id, upstream, true, "announced");
     if (stateOf(upstream) == UpstreamState::Draining) {
         for (OfferedCall &call : upstream.queue.takeAll()) {
-            refuse(std::move(call), "upstream drains");
+            refuse(call, "upstream drains");
         }
         if (before != UpstreamState::Draining) {
             m_log.write(Event::UpstreamDraining, {{"upstream", announcement.id}, {"cause", "announced"}});
@@ -175,7 +175,7 @@
     setTimeBounds(call, now());
     const std::string reason = refusalReason(upstream, call.message);
     if (!reason.empty()) {
-        refuse(std::move(call), reason);
+        refuse(call, reason);
         return;
     }
     upstream->offered += call.message.offeredBefore ? 0 : 1;
@@ -192,7 +192,7 @@
     return upstream.active < limitOf(upstream);
 }
 
-void UpstreamPort::refuse(OfferedCall call, const std::string &reason)
+void UpstreamPort::refuse(const OfferedCall &call, const std::string &reason)
 {
     ReplyMessage reply;
     reply.callId = call.message.callId;
@@ -212,7 +212,7 @@
 {
     const double at = now();
     for (auto entry = upstream.connections.begin(); entry != upstream.connections.end();) {
-        const auto connection = *entry;
+        auto connection = *entry;
         if (connection->isReusable(at)) {
             upstream.connections.splice(upstream.connections.begin(), upstream.connections, entry);
             return connection;
@@ -224,7 +224,7 @@
             ++entry;
         }
     }
-    const auto connection = UpstreamConnection::open(m_loop, m_dialect, upstream.info.address, m_identity.sourceIp);
+    auto connection = UpstreamConnection::open(m_loop, m_dialect, upstream.info.address, m_identity.sourceIp);
     if (!connection) {
         return nullptr;
     }
@@ -244,7 +244,7 @@
     upstream.trialRunning = !upstream.reachable;
     const auto connection = connectionFor(id, upstream);
     if (!connection) {
-        refuse(std::move(call), "no descriptor left");
+        refuse(call, "no descriptor left");
         return;
     }
     ++upstream.active;
@@ -285,7 +285,7 @@
     }
     if (!upstream.reachable) {
         for (OfferedCall &waiting : upstream.queue.takeAll()) {
-            refuse(std::move(waiting), "upstream unreachable");
+            refuse(waiting, "upstream unreachable");
         }
     }
     startWaiting(id, upstream);
@@ -382,7 +382,7 @@
 {
     const double at = now();
     for (OfferedCall &call : upstream.queue.takeExpired(at)) {
-        refuse(std::move(call), "no slot in time");
+        refuse(call, "no slot in time");
     }
     const double silence = std::max(minSilenceMs, upstream.serviceMs * silenceFactor);
     const bool silent = at - upstream.heardAtMs > silence;
--- a/packages/meshnode/upstreamport.h
+++ b/packages/meshnode/upstreamport.h
@@ -80,7 +80,7 @@
     bool mayStart(const Upstream &upstream) const;
     UpstreamState stateOf(const Upstream &upstream) const;
     std::string refusalReason(const Upstream *upstream, const CallMessage &message) const;
-    void refuse(OfferedCall call, const std::string &reason);
+    void refuse(const OfferedCall &call, const std::string &reason);
     void start(const std::string &id, Upstream &upstream, OfferedCall call);
     std::shared_ptr<UpstreamConnection> connectionFor(const std::string &id, Upstream &upstream);
     void finished(const std::string &id, const std::shared_ptr<UpstreamConnection> &connection, OfferedCall call, ReplyMessage reply, bool connectFailed);
--- a/packages/meshnode/upstreamqueue.cpp
+++ b/packages/meshnode/upstreamqueue.cpp
@@ -14,13 +14,16 @@
 constexpr double rootWaitShare = 0.1;
 // Part of its time that a nested call may wait: its request has been admitted, and what was done for it would be lost.
 constexpr double nestedWaitShare = 0.35;
-constexpr double minWaitMs = 10;
+constexpr double minWaitMs = 10; // also of a new request that has waited at another upstream
 }
 
 void setTimeBounds(OfferedCall &call, double nowMs)
 {
     const CallMessage &message = call.message;
-    const double wait = message.nested ? message.timeLeftMs * nestedWaitShare : std::min(message.latencyGoalMs, message.timeLeftMs) * rootWaitShare;
+    double wait = message.nested ? message.timeLeftMs * nestedWaitShare : std::min(message.latencyGoalMs, message.timeLeftMs) * rootWaitShare;
+    if (message.offeredBefore && !message.nested) {
+        wait = 0;
+    }
     call.arrivedMs = nowMs;
     call.deadlineMs = nowMs + message.timeLeftMs;
     call.startByMs = nowMs + std::max(wait, minWaitMs);
--- a/packages/net/httpport.cpp
+++ b/packages/net/httpport.cpp
@@ -29,7 +29,7 @@
 {
     std::string head = "HTTP/1.1 " + std::to_string(status) + ' ' + std::string(reasonPhrase(status)) + "\r\n";
     for (const auto &[name, value] : fields) {
-        head += name + ": " + value + "\r\n";
+        head.append(name).append(": ").append(value).append("\r\n");
     }
     return head;
 }
--- a/packages/net/tcp.cpp
+++ b/packages/net/tcp.cpp
@@ -67,7 +67,10 @@
     }
     if (!sourceIp.empty()) {
         ACE_INET_Addr source(static_cast<unsigned short>(0), sourceIp.c_str());
-        ::bind(descriptor, static_cast<sockaddr *>(source.get_addr()), static_cast<socklen_t>(source.get_size()));
+        if (::bind(descriptor, static_cast<sockaddr *>(source.get_addr()), static_cast<socklen_t>(source.get_size())) != 0) {
+            ::close(descriptor);
+            return nullptr;
+        }
     }
     const int status = ::connect(descriptor, static_cast<sockaddr *>(target.get_addr()), static_cast<socklen_t>(target.get_size()));
     std::shared_ptr<TcpStream> stream(new TcpStream(loop, descriptor, false));
--- a/tests/mesh/meshtest.cpp
+++ b/tests/mesh/meshtest.cpp
@@ -5,6 +5,8 @@
 #include "mesh/meshsettings.h"
 #include "mesh/messages.h"
 
+#include <fstream>
+#include <iterator>
 #include <rapidcheck.h>
 
 using namespace Yuccagrade;
@@ -193,6 +195,14 @@
     BOOST_TEST(!pool.link(nobody));
 }
 
+// Guards against a page that differs from what the program accepts.
+BOOST_AUTO_TEST_CASE(settingsPageMatchesTheTable)
+{
+    std::ifstream page(std::string(YUCCAGRADE_SOURCE_FOLDER) + "/docs/MANIFEST.md");
+    const std::string text{std::istreambuf_iterator<char>(page), {}};
+    BOOST_TEST(text.find(markdownRows(meshSettingsFormat())) != std::string::npos);
+}
+
 // Guards against a process that starts with settings of the other role or without a needed address.
 BOOST_AUTO_TEST_CASE(settingsAreCheckedWithAllFindings)
 {
--- a/tests/meshcontrol/meshcontroltest.cpp
+++ b/tests/meshcontrol/meshcontroltest.cpp
@@ -32,7 +32,7 @@
 
 std::shared_ptr<FleetConfig> rateOf(double perS, double burst)
 {
-    const auto config = std::make_shared<FleetConfig>();
+    auto config = std::make_shared<FleetConfig>();
     config->teams = {{"red", {}, std::nullopt, perS, burst}};
     return config;
 }
--- a/tests/meshnode/decisiontest.cpp
+++ b/tests/meshnode/decisiontest.cpp
@@ -61,6 +61,11 @@
     const auto expired = queue.takeExpired(50);
     BOOST_REQUIRE(expired.size() == 1U);
     BOOST_TEST(expired.front().message.callId == 1U);
+    OfferedCall again = offered(3, 0, false, 0, 400);
+    again.message.offeredBefore = true;
+    setTimeBounds(again, 100);
+    queue.add(again);
+    BOOST_TEST(queue.takeExpired(111).size() == 1U);
     BOOST_TEST(queue.remove(0, 2));
     BOOST_TEST(!queue.remove(0, 2));
 }
