--- a/packages/base/eventlog.cpp
+++ b/packages/base/eventlog.cpp
@@ -98,6 +98,8 @@
     {Event::CallForwarded, Debug, "call-forwarded", "A request was sent to a node or upstream."},
     {Event::CallCancelled, Debug, "call-cancelled", "The caller left before the answer."},
     {Event::RequestTooLarge, Info, "request-too-large", "The request exceeds a size limit."},
+    {Event::CallRepeated, Info, "call-repeated", "A call is offered to another upstream."},
+    {Event::CallRefusedAtUpstream, Info, "call-refused-at-upstream", "The node beside the upstream refused a call before any byte was sent."},
 };
 
 log4cplus::LogLevel logLevel(Severity severity)
--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -76,6 +76,8 @@
     CallForwarded = 714,
     CallCancelled = 715,
     RequestTooLarge = 716,
+    CallRepeated = 717,
+    CallRefusedAtUpstream = 718,
 };
 
 /// Severity of an event.
--- a/packages/meshnode/callbroker.cpp
+++ b/packages/meshnode/callbroker.cpp
@@ -385,6 +385,14 @@
         call->lastAnswer = std::move(reply);
     }
     if (mayRepeat(*call, outcome) && (outcome == CallOutcome::NotOffered || m_retryTokens.tryTake(call->service, at)) && dispatch(call)) {
+        m_log.write(Event::CallRepeated,
+                    {{"request", call->requestId},
+                     {"service", call->service},
+                     {"outcome", std::string(outcomeName(outcome))},
+                     {"next", call->upstreamId},
+                     {"arrivals", std::to_string(call->arrivals)},
+                     {"refusals", std::to_string(call->refusals)},
+                     {"reason", call->lastReason}});
         m_metrics.count("calls_sent_again_total", "outcome=\"" + std::string(outcomeName(outcome)) + '"');
         return;
     }
--- a/packages/meshnode/upstreamport.cpp
+++ b/packages/meshnode/upstreamport.cpp
@@ -198,6 +198,17 @@
     reply.callId = call.message.callId;
     reply.outcome = CallOutcome::NotOffered;
     reply.reason = reason;
+    const auto found = m_upstreams.find(call.message.upstreamId);
+    const bool known = found != m_upstreams.end();
+    m_log.write(Event::CallRefusedAtUpstream,
+                {{"request", call.message.requestId},
+                 {"upstream", call.message.upstreamId},
+                 {"waited_ms", std::to_string(static_cast<int>(now() - call.arrivedMs))},
+                 {"active", std::to_string(known ? found->second.active : 0)},
+                 {"queued", std::to_string(known ? found->second.queue.size() : 0)},
+                 {"limit", std::to_string(known ? limitOf(found->second) : 0)},
+                 {"heard_ms_ago", std::to_string(known ? static_cast<int>(now() - found->second.heardAtMs) : -1)},
+                 {"reason", reason}});
     m_metrics.count("upstream_refused_total", "reason=\"" + reason + '"');
     deliver(call, std::move(reply));
 }
@@ -264,6 +275,14 @@
     if (!connection->isOpen()) {
         upstream.connections.remove(connection);
     }
+    if (reply.outcome == CallOutcome::MayHaveRun) {
+        m_log.write(Event::UpstreamAnswerBroken,
+                    {{"request", call.message.requestId},
+                     {"upstream", id},
+                     {"sent_ms_ago", std::to_string(static_cast<int>(now() - connection->sentAtMs()))},
+                     {"heard_ms_ago", std::to_string(static_cast<int>(now() - upstream.heardAtMs))},
+                     {"reason", reply.reason}});
+    }
     if (connectFailed) {
         upstream.retryAtMs = now() + trialPauseMs;
         setReachable(id, upstream, false, reply.reason);
