--- a/packages/mesh/dialect.h
+++ b/packages/mesh/dialect.h
@@ -61,10 +61,15 @@
 /// How the outside world speaks. One platform's adapter provides all hooks.
 struct Dialect {
     std::function<CallerRequest(const HttpMessage &request)> readRequest;
-    /// Returns request line and header lines of the call to an upstream, without the lines of renderHop().
+    /// Returns request line and header lines of the call to an upstream, without the lines of renderHop(). Bytes between
+    /// domains are dear, so the request id is sent once, in the message itself.
     std::function<std::string(const HttpMessage &request, const CallIdentity &identity)> renderCall;
-    /// Returns the header lines that name the upstream and the time left.
-    std::function<std::string(const std::string &upstreamId, double timeLeftMs)> renderHop;
+    /// Returns the header lines that name the request, the upstream and the time left.
+    std::function<std::string(const std::string &requestId, const std::string &upstreamId, double timeLeftMs)> renderHop;
+    /// True for a field of a response that is not passed on to the caller's node.
+    std::function<bool(std::string_view name)> isHopField;
+    /// Returns the header line that names the request in an answer.
+    std::function<std::string(const std::string &requestId)> renderRequestId;
     std::function<UpstreamAnswer(const HttpMessage &response)> readAnswer;
     /// Returns the response head for a refusal by the layer; @p retryAfterMs is negative if waiting does not help.
     std::function<std::string(const std::string &requestId, int status, double retryAfterMs)> renderRefusal;
--- a/packages/meshnode/callbroker.cpp
+++ b/packages/meshnode/callbroker.cpp
@@ -453,7 +453,7 @@
     m_metrics.count("calls_answered_total", "route=\"" + call->route->name + "\",class=\"" + std::to_string(reply.status / 100) + "xx\"");
     m_metrics.sample("call_ms", took, "service=\"" + call->service + '"');
     logEnd(*call, Event::CallServed, reply.status, "upstream answered");
-    call->exchange->respond(std::move(reply.head), std::move(reply.body));
+    call->exchange->respond(reply.head + m_dialect.renderRequestId(call->requestId), std::move(reply.body));
 }
 
 double CallBroker::retryAfterMs(const Call & /*call*/)
--- a/packages/meshnode/upstreamconnection.cpp
+++ b/packages/meshnode/upstreamconnection.cpp
@@ -13,11 +13,11 @@
 // Kept back from a stated limit: the upstream may close just as a call is sent.
 constexpr double idleMarginMs = 1'500;
 
-std::string forwardedHead(const HttpMessage &message)
+std::string forwardedHead(const Dialect &dialect, const HttpMessage &message)
 {
     std::string head = "HTTP/1.1 " + std::to_string(message.status) + ' ' + message.reason + "\r\n";
     for (const auto &[name, value] : message.fields) {
-        if (!isConnectionField(name)) {
+        if (!isConnectionField(name) && !dialect.isHopField(name)) {
             head.append(name).append(": ").append(value).append("\r\n");
         }
     }
@@ -65,7 +65,7 @@
     m_heard = false;
     m_reader.expectNoBody(call.message.headOnly);
     m_stream->write(call.message.head);
-    m_stream->write(m_dialect.renderHop(call.message.upstreamId, call.deadlineMs - m_sentAtMs));
+    m_stream->write(m_dialect.renderHop(call.message.requestId, call.message.upstreamId, call.deadlineMs - m_sentAtMs));
     m_stream->write("\r\n");
     m_stream->write(call.message.body);
     m_call = std::move(call);
@@ -128,7 +128,7 @@
     } else {
         reply.outcome = CallOutcome::Answered;
         reply.status = message.status;
-        reply.head = forwardedHead(message);
+        reply.head = forwardedHead(m_dialect, message);
         reply.body = std::move(message.body);
     }
     const double idle = answer.idleTimeoutMs ? std::max(0.0, static_cast<double>(*answer.idleTimeoutMs) - idleMarginMs) : defaultIdleMs;
--- a/packages/meshnode/upstreamqueue.cpp
+++ b/packages/meshnode/upstreamqueue.cpp
@@ -11,7 +11,7 @@
 constexpr double priorityStepMs = 20;
 constexpr int maxPriorityStep = 10;
 // Part of the latency goal that a new request may wait here; a refusal after more than an eighth of the goal is late.
-constexpr double rootWaitShare = 0.1;
+constexpr double rootWaitShare = 0.08;
 // Part of its time that a nested call may wait: its request has been admitted, and what was done for it would be lost.
 constexpr double nestedWaitShare = 0.35;
 constexpr double minWaitMs = 10; // also of a new request that has waited at another upstream
