--- a/packages/meshnode/callbroker.cpp
+++ b/packages/meshnode/callbroker.cpp
@@ -255,6 +255,7 @@
     const UpstreamEntry *upstream = m_directory.choose(
         call->service,
         call->kind,
+        static_cast<double>(call->route->latencyGoalMs),
         call->tried,
         [this](const std::string &address) {
             return address == m_identity.peerAddress || !m_links.isFailing(address);
--- a/packages/meshnode/directory.cpp
+++ b/packages/meshnode/directory.cpp
@@ -8,17 +8,18 @@
 {
 namespace
 {
-// Added to the load of an upstream in another domain, so that equal ones nearby are preferred.
-constexpr double otherDomainPenalty = 0.35;
+// Added to the score of an upstream in another domain: bytes between domains are dear, so a call leaves its domain only
+// if no slot is free there or its upstreams are slow for the goal.
+constexpr double otherDomainPenalty = 0.6;
+// Added to the score of an upstream without a free slot.
+constexpr double fullPenalty = 0.6;
 // A cold upstream works at about half its speed.
 constexpr double coldFactor = 2;
 // A load report says nothing after this time; then only own calls count.
 constexpr double loadValidMs = 2'000;
-// Weight of the relative slowness against the load: an upstream that takes twice as long is used as one with this much
-// more load.
-constexpr double slownessWeight = 0.12;
-constexpr double maxSlowness = 5;
-constexpr double slownessFadeMs = 4'000;
+// A time that is this much above the goal counts no further.
+constexpr double maxTimeShare = 2;
+constexpr double timeFadeMs = 4'000;
 // Spread of the score, so that nodes with the same reports do not all choose the same upstream.
 constexpr double scoreJitter = 0.05;
 constexpr double avoidMs = 300;
@@ -64,6 +65,9 @@
     const double limit = fresh ? upstream.load.limit : std::max(upstream.entry.slots, assumedLimit);
     const double busy = fresh ? upstream.load.busy + upstream.sentSinceLoad : upstream.outstanding;
     double result = (busy + 1) / limit;
+    if (busy >= limit) {
+        result += fullPenalty;
+    }
     if (upstream.entry.coldLeftMs > 0) {
         result *= coldFactor;
     }
@@ -73,34 +77,20 @@
     return result + m_random.fraction() * scoreJitter;
 }
 
-double Directory::fastest(std::string_view service, std::uint32_t kind) const
-{
-    double best = 0;
-    for (const auto &[id, upstream] : m_upstreams) {
-        if (upstream.entry.service != service || upstream.entry.state != UpstreamState::Ready) {
-            continue;
-        }
-        const auto time = upstream.serviceTimes.find(kind);
-        if (time != upstream.serviceTimes.end() && (best == 0 || time->second.ms < best)) {
-            best = time->second.ms;
-        }
-    }
-    return best;
-}
-
-// How much longer the upstream takes than the fastest one. What was learned fades, so that a slow upstream is tried again.
-double Directory::slowness(const Upstream &upstream, std::uint32_t kind, double fastestMs, double nowMs) const
+// Part of the latency goal that the upstream needs for calls of a kind. What was learned fades, so that a slow upstream is
+// tried again.
+double Directory::timeShare(const Upstream &upstream, std::uint32_t kind, double latencyGoalMs, double nowMs)
 {
     const auto time = upstream.serviceTimes.find(kind);
-    if (time == upstream.serviceTimes.end() || fastestMs <= 0) {
+    if (time == upstream.serviceTimes.end() || latencyGoalMs <= 0) {
         return 0;
     }
-    const double excess = std::min(time->second.ms / fastestMs - 1, maxSlowness);
-    return excess * std::exp(-(nowMs - time->second.atMs) / slownessFadeMs);
+    return std::min(time->second.ms / latencyGoalMs, maxTimeShare) * std::exp(-(nowMs - time->second.atMs) / timeFadeMs);
 }
 
 const UpstreamEntry *Directory::choose(std::string_view service,
-                                       std::uint32_t kind,
+                  std::uint32_t kind,
+                  double latencyGoalMs,
                                        const std::set<std::string> &tried,
                                        const std::function<bool(const std::string &)> &reachable,
                                        double nowMs)
@@ -108,7 +98,6 @@
     const UpstreamEntry *best = nullptr;
     const UpstreamEntry *fallback = nullptr;
     double bestScore = std::numeric_limits<double>::max();
-    const double fastestMs = fastest(service, kind);
     for (const auto &[id, upstream] : m_upstreams) {
         if (upstream.entry.service != service || upstream.entry.state == UpstreamState::Draining || tried.contains(id)
             || !reachable(upstream.entry.peerAddress)) {
@@ -118,7 +107,7 @@
             fallback = &upstream.entry;
             continue;
         }
-        const double current = score(upstream, nowMs) + slowness(upstream, kind, fastestMs, nowMs) * slownessWeight;
+        const double current = score(upstream, nowMs) + timeShare(upstream, kind, latencyGoalMs, nowMs);
         if (current < bestScore) {
             bestScore = current;
             best = &upstream.entry;
--- a/packages/meshnode/directory.h
+++ b/packages/meshnode/directory.h
@@ -26,6 +26,7 @@
     /// @p tried are left out, and so are those whose node is not @p reachable.
     const UpstreamEntry *choose(std::string_view service,
                                 std::uint32_t kind,
+                                double latencyGoalMs,
                                 const std::set<std::string> &tried,
                                 const std::function<bool(const std::string &peerAddress)> &reachable,
                                 double nowMs);
@@ -59,8 +60,7 @@
         int sentSinceLoad = 0; ///< calls that the last report does not contain
     };
     double score(const Upstream &upstream, double nowMs);
-    double slowness(const Upstream &upstream, std::uint32_t kind, double fastestMs, double nowMs) const;
-    double fastest(std::string_view service, std::uint32_t kind) const;
+    static double timeShare(const Upstream &upstream, std::uint32_t kind, double latencyGoalMs, double nowMs);
 
     std::string m_domain;
     Random m_random;
--- a/tests/meshnode/decisiontest.cpp
+++ b/tests/meshnode/decisiontest.cpp
@@ -75,17 +75,17 @@
 {
     Directory directory("north", Random(1));
     directory.replace({upstream("1", "north", UpstreamState::Draining), upstream("2", "north"), upstream("3", "south")});
-    BOOST_TEST(directory.choose("stock", 1, {}, everywhere, 0)->id == "2");
-    BOOST_TEST(directory.choose("stock", 1, {"2"}, everywhere, 0)->id == "3");
-    BOOST_TEST(!directory.choose("stock", 1, {"2", "3"}, everywhere, 0));
-    BOOST_TEST(!directory.choose("orders", 1, {}, everywhere, 0));
+    BOOST_TEST(directory.choose("stock", 1, 400, {}, everywhere, 0)->id == "2");
+    BOOST_TEST(directory.choose("stock", 1, 400, {"2"}, everywhere, 0)->id == "3");
+    BOOST_TEST(!directory.choose("stock", 1, 400, {"2", "3"}, everywhere, 0));
+    BOOST_TEST(!directory.choose("orders", 1, 400, {}, everywhere, 0));
     directory.noteFailure("2", 1'000);
-    BOOST_TEST(directory.choose("stock", 1, {}, everywhere, 1'100)->id == "3");
-    BOOST_TEST(directory.choose("stock", 1, {"3"}, everywhere, 1'100)->id == "2");
+    BOOST_TEST(directory.choose("stock", 1, 400, {}, everywhere, 1'100)->id == "3");
+    BOOST_TEST(directory.choose("stock", 1, 400, {"3"}, everywhere, 1'100)->id == "2");
     const auto onlySouth = [](const std::string &address) {
         return address == "10.0.0.3:7000";
     };
-    BOOST_TEST(directory.choose("stock", 1, {}, onlySouth, 5'000)->id == "3");
+    BOOST_TEST(directory.choose("stock", 1, 400, {}, onlySouth, 5'000)->id == "3");
 }
 
 // Guards against a full upstream nearby that is preferred to an idle one elsewhere.
@@ -95,9 +95,9 @@
     directory.replace({upstream("2", "north"), upstream("3", "south")});
     directory.noteLoad("2", {20, 20, 0}, 1'000);
     directory.noteLoad("3", {2, 20, 0}, 1'000);
-    BOOST_TEST(directory.choose("stock", 1, {}, everywhere, 1'100)->id == "3");
+    BOOST_TEST(directory.choose("stock", 1, 400, {}, everywhere, 1'100)->id == "3");
     directory.noteLoad("2", {4, 20, 0}, 1'200);
-    BOOST_TEST(directory.choose("stock", 1, {}, everywhere, 1'300)->id == "2");
+    BOOST_TEST(directory.choose("stock", 1, 400, {}, everywhere, 1'300)->id == "2");
 }
 
 // Guards against calls with a tight goal at a slow upstream, and against one that is never tried again.
@@ -110,11 +110,11 @@
     directory.noteServiceTime("2", 1, 300, 1'000);
     directory.noteServiceTime("3", 1, 100, 1'000);
     for (int i = 0; i < 20; ++i) {
-        BOOST_TEST(directory.choose("stock", 1, {}, everywhere, 1'100)->id == "3");
+        BOOST_TEST(directory.choose("stock", 1, 400, {}, everywhere, 1'100)->id == "3");
     }
     int retried = 0;
     for (int i = 0; i < 100; ++i) {
-        retried += directory.choose("stock", 1, {}, everywhere, 30'000)->id == "2" ? 1 : 0;
+        retried += directory.choose("stock", 1, 400, {}, everywhere, 30'000)->id == "2" ? 1 : 0;
     }
     BOOST_TEST(retried > 10);
 }
