--- a/packages/meshcontrol/levelcontroller.cpp
+++ b/packages/meshcontrol/levelcontroller.cpp
@@ -12,8 +12,8 @@
 constexpr double targetUse = 0.97;
 // Change of the level per second for the excess of the need. Requests that were let in go on calling for about a second,
 // so a faster controller overshoots.
-constexpr double gainPerS = 1.2;
-constexpr double maxRatePerS = 1.0;
+constexpr double gainPerS = 2.0;
+constexpr double maxRatePerS = 2.0;
 // The highest priority is always served to a part, so that the shortage can be observed.
 constexpr double maxLevel = 2.8;
 constexpr double msPerSecond = 1'000;
