--- a/packages/meshnode/meshnode.cpp
+++ b/packages/meshnode/meshnode.cpp
@@ -17,6 +17,8 @@
 constexpr double proofShare = 0.85;
 // After SIGTERM new requests are served for this time, in which callers and other nodes turn away.
 constexpr TimeMs turnAwayMs = 2'600;
+// After SIGTERM the upstream of this host takes calls of other nodes for this time.
+constexpr TimeMs upstreamDrainMs = 1'700;
 // Kept back from the time to stop, for the last answers to leave.
 constexpr TimeMs exitMarginMs = 250;
 constexpr TimeMs drainCheckMs = 50;
@@ -417,7 +419,10 @@
     m_drainingSince = m_loop.clock().now();
     m_log.write(Event::DrainStarted, {{"pending", std::to_string(m_broker.pending())}});
     m_callers.closeAfterResponses();
-    m_upstreams.drain();
+    // The upstream stays, so its slots are given up only for as long as its calls need to end.
+    m_loop.after(upstreamDrainMs, [this] {
+        m_upstreams.drain();
+    });
     m_loop.every(drainCheckMs, [this] {
         checkDrained();
     });
