--- a/packages/mesh/framelink.cpp
+++ b/packages/mesh/framelink.cpp
@@ -237,16 +237,6 @@
     }
 }
 
-void LinkPool::close(const std::string &address)
-{
-    const auto found = m_links.find(address);
-    if (found != m_links.end()) {
-        const auto kept = found->second;
-        kept->close();
-        drop(address, kept.get());
-    }
-}
-
 void LinkPool::check()
 {
     const auto links = m_links;
--- a/packages/mesh/framelink.h
+++ b/packages/mesh/framelink.h
@@ -88,7 +88,6 @@
     FrameLink *link(const std::string &address);
     /// True if the address failed and no link was established since, or if its process does not answer now.
     bool isFailing(const std::string &address) const;
-    void close(const std::string &address);
 
 private:
     /// An address that failed; new links to it are tried in the background.
--- a/packages/meshnode/callbroker.cpp
+++ b/packages/meshnode/callbroker.cpp
@@ -194,7 +194,7 @@
     if (m_admission.admits(call.service, call.route->priority, call.arrivedMs)) {
         return true;
     }
-    refuse(call, 503, retryAfterMs(call), Event::RequestShed, "service under pressure");
+    refuse(call, 503, retryAfterMs(), Event::RequestShed, "service under pressure");
     return false;
 }
 
@@ -408,7 +408,7 @@
     } else if (call->mayHaveRun) {
         refuse(*call, 502, -1, Event::UpstreamAnswerBroken, call->lastReason);
     } else {
-        refuse(*call, 503, retryAfterMs(*call), Event::UpstreamUnavailable, call->lastReason);
+        refuse(*call, 503, retryAfterMs(), Event::UpstreamUnavailable, call->lastReason);
     }
 }
 
@@ -457,7 +457,7 @@
     call->exchange->respond(reply.head + m_dialect.renderRequestId(call->requestId), std::move(reply.body));
 }
 
-double CallBroker::retryAfterMs(const Call & /*call*/)
+double CallBroker::retryAfterMs()
 {
     return minRetryAfterMs + m_random.fraction() * retryAfterSpreadMs;
 }
--- a/packages/meshnode/callbroker.h
+++ b/packages/meshnode/callbroker.h
@@ -135,7 +135,7 @@
     void refuse(Call &call, int status, double retryAfterMs, Event event, const std::string &reason);
     void release(const CallPtr &call);
     void logEnd(const Call &call, Event event, int status, const std::string &reason);
-    double retryAfterMs(const Call &call);
+    double retryAfterMs();
     double now() const
     {
         return m_loop.clock().preciseMs();
--- a/packages/meshnode/upstreamconnection.cpp
+++ b/packages/meshnode/upstreamconnection.cpp
@@ -12,6 +12,8 @@
 constexpr double defaultIdleMs = 4'000;
 // Kept back from a stated limit: the upstream may close just as a call is sent.
 constexpr double idleMarginMs = 1'500;
+// A connection on one host whose bytes are not acknowledged for this time is dead; the system would wait for minutes.
+constexpr TimeMs deadConnectionMs = 800;
 
 std::string forwardedHead(const Dialect &dialect, const HttpMessage &message)
 {
@@ -40,6 +42,7 @@
     if (!stream) {
         return nullptr;
     }
+    stream->breakAfterSilence(deadConnectionMs);
     std::shared_ptr<UpstreamConnection> connection(new UpstreamConnection(loop, dialect, std::move(stream)));
     connection->start();
     return connection;
@@ -109,9 +112,6 @@
         return false;
     }
     const UpstreamAnswer answer = m_dialect.readAnswer(message);
-    if (answer.load && onLoad) {
-        onLoad(*answer.load);
-    }
     if (!answer.requestId.empty() && answer.requestId != m_call->message.requestId) {
         // A late answer to an earlier call; the answer to the present one follows.
         m_tainted = true;
--- a/packages/meshnode/upstreamconnection.h
+++ b/packages/meshnode/upstreamconnection.h
@@ -24,8 +24,6 @@
     DoneHandler onDone;
     /// The connection closed while no call ran.
     std::function<void(const std::shared_ptr<UpstreamConnection> &)> onIdleClosed;
-    /// What the upstream said of its load.
-    std::function<void(const LoadReport &)> onLoad;
 
     /// Sends a call; the connection must be reusable.
     void send(OfferedCall call);
--- a/packages/meshnode/upstreamport.cpp
+++ b/packages/meshnode/upstreamport.cpp
@@ -244,7 +244,9 @@
         finished(id, self, std::move(call), std::move(reply), connectFailed);
     };
     connection->onIdleClosed = [this, id](const std::shared_ptr<UpstreamConnection> &self) {
-        m_upstreams[id].connections.remove(self);
+        if (const auto found = m_upstreams.find(id); found != m_upstreams.end()) {
+            found->second.connections.remove(self);
+        }
     };
     upstream.connections.push_front(connection);
     return connection;
