--- a/packages/meshnode/directory.cpp
+++ b/packages/meshnode/directory.cpp
@@ -89,8 +89,8 @@
 }
 
 const UpstreamEntry *Directory::choose(std::string_view service,
-                  std::uint32_t kind,
-                  double latencyGoalMs,
+                                       std::uint32_t kind,
+                                       double latencyGoalMs,
                                        const std::set<std::string> &tried,
                                        const std::function<bool(const std::string &)> &reachable,
                                        double nowMs)
--- a/packages/meshnode/upstreamport.cpp
+++ b/packages/meshnode/upstreamport.cpp
@@ -240,7 +240,7 @@
         return nullptr;
     }
     m_metrics.count("upstream_connections_total");
-    connection->onDone = [this, id](const auto &self, OfferedCall call, ReplyMessage reply, bool connectFailed) {
+    connection->onDone = [this, id](const std::shared_ptr<UpstreamConnection> &self, OfferedCall call, ReplyMessage reply, bool connectFailed) {
         finished(id, self, std::move(call), std::move(reply), connectFailed);
     };
     connection->onIdleClosed = [this, id](const std::shared_ptr<UpstreamConnection> &self) {
