One template each for encoding and decoding messages

Nine pairs of functions of the same shape are gone; the message types are instantiated in one place. Unit and property programs of mesh, meshnode, meshcontrol and platform pass.

--- a/packages/mesh/messages.cpp
+++ b/packages/mesh/messages.cpp
@@ -183,9 +183,20 @@
         return true;
     }
 }
+}
+
+std::string_view outcomeName(CallOutcome outcome)
+{
+    return outcomeNames[static_cast<std::size_t>(outcome)];
+}
+
+std::string_view upstreamStateName(UpstreamState state)
+{
+    return upstreamStateNames[static_cast<std::size_t>(state)];
+}
 
 template<typename T>
-std::string pack(const T &message)
+std::string encode(const T &message)
 {
     msgpack::sbuffer buffer;
     Packer packer(buffer);
@@ -194,7 +205,7 @@
 }
 
 template<typename T>
-bool unpack(std::string_view text, T &message)
+bool decode(std::string_view text, T &message)
 {
     try {
         const msgpack::object_handle handle = msgpack::unpack(text.data(), text.size());
@@ -204,105 +215,23 @@
         return false;
     }
 }
-}
-
-std::string_view outcomeName(CallOutcome outcome)
-{
-    return outcomeNames[static_cast<std::size_t>(outcome)];
-}
-
-std::string_view upstreamStateName(UpstreamState state)
-{
-    return upstreamStateNames[static_cast<std::size_t>(state)];
-}
-
-std::string encode(const CallMessage &message)
-{
-    return pack(message);
-}
 
-std::string encode(const ReplyMessage &message)
-{
-    return pack(message);
-}
-
-std::string encode(const CancelMessage &message)
-{
-    return pack(message);
-}
-
-std::string encode(const StatusMessage &message)
-{
-    return pack(message);
-}
-
-std::string encode(const SyncMessage &message)
-{
-    return pack(message);
-}
-
-std::string encode(const SyncReplyMessage &message)
-{
-    return pack(message);
-}
-
-std::string encode(const ConsensusMessage &message)
-{
-    return pack(message);
-}
-
-std::string encode(const TokenRequest &message)
-{
-    return pack(message);
-}
-
-std::string encode(const TokenGrant &message)
-{
-    return pack(message);
-}
-
-bool decode(std::string_view text, CallMessage &message)
-{
-    return unpack(text, message);
-}
-
-bool decode(std::string_view text, ReplyMessage &message)
-{
-    return unpack(text, message);
-}
-
-bool decode(std::string_view text, CancelMessage &message)
-{
-    return unpack(text, message);
-}
-
-bool decode(std::string_view text, StatusMessage &message)
-{
-    return unpack(text, message);
-}
-
-bool decode(std::string_view text, SyncMessage &message)
-{
-    return unpack(text, message);
-}
-
-bool decode(std::string_view text, SyncReplyMessage &message)
-{
-    return unpack(text, message);
-}
-
-bool decode(std::string_view text, ConsensusMessage &message)
-{
-    return unpack(text, message);
-}
-
-bool decode(std::string_view text, TokenRequest &message)
-{
-    return unpack(text, message);
-}
-
-bool decode(std::string_view text, TokenGrant &message)
-{
-    return unpack(text, message);
-}
+template std::string encode(const CallMessage &message);
+template std::string encode(const ReplyMessage &message);
+template std::string encode(const CancelMessage &message);
+template std::string encode(const StatusMessage &message);
+template std::string encode(const SyncMessage &message);
+template std::string encode(const SyncReplyMessage &message);
+template std::string encode(const ConsensusMessage &message);
+template std::string encode(const TokenRequest &message);
+template std::string encode(const TokenGrant &message);
+template bool decode(std::string_view text, CallMessage &message);
+template bool decode(std::string_view text, ReplyMessage &message);
+template bool decode(std::string_view text, CancelMessage &message);
+template bool decode(std::string_view text, StatusMessage &message);
+template bool decode(std::string_view text, SyncMessage &message);
+template bool decode(std::string_view text, SyncReplyMessage &message);
+template bool decode(std::string_view text, ConsensusMessage &message);
+template bool decode(std::string_view text, TokenRequest &message);
+template bool decode(std::string_view text, TokenGrant &message);
 }
--- a/packages/mesh/messages.h
+++ b/packages/mesh/messages.h
@@ -172,23 +172,10 @@
     std::string text;
 };
 
-/// Encodes a message. Decoders return false on malformed input and never throw.
-std::string encode(const CallMessage &message);
-std::string encode(const ReplyMessage &message);
-std::string encode(const CancelMessage &message);
-std::string encode(const StatusMessage &message);
-std::string encode(const SyncMessage &message);
-std::string encode(const SyncReplyMessage &message);
-std::string encode(const ConsensusMessage &message);
-std::string encode(const TokenRequest &message);
-std::string encode(const TokenGrant &message);
-bool decode(std::string_view text, CallMessage &message);
-bool decode(std::string_view text, ReplyMessage &message);
-bool decode(std::string_view text, CancelMessage &message);
-bool decode(std::string_view text, StatusMessage &message);
-bool decode(std::string_view text, SyncMessage &message);
-bool decode(std::string_view text, SyncReplyMessage &message);
-bool decode(std::string_view text, ConsensusMessage &message);
-bool decode(std::string_view text, TokenRequest &message);
-bool decode(std::string_view text, TokenGrant &message);
+/// Encodes a message of this file.
+template<typename T>
+std::string encode(const T &message);
+/// Returns false on malformed input and never throws.
+template<typename T>
+bool decode(std::string_view text, T &message);
 }
