Entry throttle ignores windows with fewer than ten requests

Cause: refusals count as failed requests, so in a slow stream (smoke: 17 requests/s and node, four in the window of 200 ms) one failure gave a refusal probability of 0.5, and the refusals kept it up. Ruled out: load of the machine (smoke failed on an idle one too). Test: theEntryThrottleIgnoresSingleFailuresOfASlowStream.

--- a/packages/policy/entrythrottle.cpp
+++ b/packages/policy/entrythrottle.cpp
@@ -9,6 +9,9 @@
 // 20 buckets make the sliding window of 200 ms. Failures in the window keep refusing calls after an overload has ended,
 // so its length bounds the recovery time.
 constexpr TimeMs bucketMs = 10;
+// Fewer requests in the window say nothing about an overload: refusals count as failures, so that one failure of a slow
+// stream of requests would refuse the next ones, and these the ones after them.
+constexpr int minRequests = 10;
 // Requests let through per complete response: the less important, the earlier they are refused.
 constexpr std::array<double, priorityCount> factors{2.0, 1.5, 1.1};
 }
@@ -42,6 +45,9 @@
 double EntryThrottle::refusalProbability(TimeMs now)
 {
     bucket(now);
+    if (m_sum.requests < minRequests) {
+        return 0;
+    }
     return std::max(0.0, (m_sum.requests - m_factor * m_sum.accepts) / (m_sum.requests + 1.0));
 }
 
--- a/packages/policy/entrythrottle.h
+++ b/packages/policy/entrythrottle.h
@@ -16,7 +16,7 @@
     bool admit(TimeMs now, Random &random);
     /// An admitted request has ended. It counts from now on, so that slow calls that still run are not taken for failures.
     void finished(bool complete, TimeMs now);
-    /// Probability of a refusal.
+    /// Probability of a refusal; 0 while the window holds too few requests to tell.
     double refusalProbability(TimeMs now);
 
 private:
--- a/tests/policy/policytest.cpp
+++ b/tests/policy/policytest.cpp
@@ -153,6 +153,23 @@
     BOOST_TEST(bulk.refusalProbability(10) > 0.4);
 }
 
+// Guards against one failure that refuses the requests after it for good: at 20 requests/s the window holds about four.
+BOOST_AUTO_TEST_CASE(theEntryThrottleIgnoresSingleFailuresOfASlowStream)
+{
+    Random random(1);
+    EntryThrottle throttle(Priority::Critical);
+    throttle.finished(false, 0);
+    int refused = 0;
+    for (TimeMs now = 50; now < 10'000; now += 50) {
+        if (throttle.admit(now, random)) {
+            throttle.finished(now % 1'000 != 0, now);
+        } else {
+            ++refused;
+        }
+    }
+    BOOST_TEST(refused == 0);
+}
+
 // Guards against calls to draining, suspect or excluded upstreams, and against leaving the own domain without need.
 BOOST_AUTO_TEST_CASE(theBalancerKeepsToSoundUpstreamsOfItsDomain)
 {
