--- a/packages/mesh/framelink.cpp
+++ b/packages/mesh/framelink.cpp
@@ -116,9 +116,10 @@
 void FrameLink::checkSilence(bool answerExpected)
 {
     const TimeMs now = m_clock.now();
-    if (!answerExpected) {
+    // An open ping outlives the calls that it was sent for: they end at their own time limits, which may be shorter than
+    // the time that tells a dead link.
+    if (!answerExpected && m_pingedAt == 0) {
         m_heardAt = now;
-        m_pingedAt = 0;
         return;
     }
     if (now - m_heardAt > (isConnected() ? silentAfterMs : connectTimeoutMs) || unsent() > maxUnsentBytes) {
--- a/tests/mesh/meshtest.cpp
+++ b/tests/mesh/meshtest.cpp
@@ -195,6 +195,41 @@
     BOOST_TEST(!pool.link(nobody));
 }
 
+// Guards against a silent peer that stays in use because all calls to it end before it is given up.
+BOOST_AUTO_TEST_CASE(silentPeerIsGivenUpAfterItsCallsEnded)
+{
+    EventLoop loop;
+    std::shared_ptr<TcpStream> accepted;
+    TcpListener silent(loop, [&](std::shared_ptr<TcpStream> stream) {
+        accepted = std::move(stream);
+    });
+    BOOST_REQUIRE(!silent.listen("127.0.0.1:0"));
+    LinkPool pool(loop, {});
+    bool busy = true;
+    bool closed = false;
+    pool.onFrame = [](const std::string &, FrameType, std::string_view) {};
+    pool.isBusy = [&](const std::string &) {
+        return busy;
+    };
+    pool.onClosed = [&](const std::string &, bool) {
+        closed = true;
+        loop.stop();
+    };
+    BOOST_REQUIRE(pool.link(silent.address()));
+    loop.after(600, [&] {
+        busy = false;
+        BOOST_TEST(pool.isFailing(silent.address()));
+    });
+    loop.after(800, [&] {
+        BOOST_TEST(pool.isFailing(silent.address()));
+    });
+    loop.after(5'000, [&] {
+        loop.stop();
+    });
+    loop.run();
+    BOOST_TEST(closed);
+}
+
 // Guards against a page that differs from what the program accepts.
 BOOST_AUTO_TEST_CASE(settingsPageMatchesTheTable)
 {
