--- a/packages/mesh/framelink.cpp
+++ b/packages/mesh/framelink.cpp
@@ -9,6 +9,9 @@
 namespace
 {
 constexpr std::size_t headerBytes = 5;
+constexpr unsigned char compressedFlag = 0x80;
+// Larger frames are mostly bodies, which do not resemble each other.
+constexpr std::size_t maxCompressedBytes = 16'384;
 // Larger than the largest body of a call and its header.
 constexpr std::size_t maxFrameBytes = 80U << 20U;
 // A process that was asked and says nothing for this time is pinged ...
@@ -68,12 +71,22 @@
     if (!isOpen()) {
         return;
     }
+    const bool compressed = m_compressor && !payload.empty() && payload.size() <= maxCompressedBytes;
+    const std::string packed = compressed ? m_compressor->add(payload) : std::string();
+    const std::string_view content = compressed ? packed : payload;
     char header[headerBytes];
-    const std::uint32_t length = htonl(static_cast<std::uint32_t>(payload.size()));
+    const std::uint32_t length = htonl(static_cast<std::uint32_t>(content.size()));
     std::memcpy(header, &length, sizeof length);
-    header[headerBytes - 1] = static_cast<char>(type);
+    header[headerBytes - 1] = static_cast<char>(static_cast<unsigned char>(type) | (compressed ? compressedFlag : 0));
     m_stream->write({header, headerBytes});
-    m_stream->write(payload);
+    m_stream->write(content);
+}
+
+void FrameLink::startCompressing()
+{
+    if (!m_compressor) {
+        m_compressor = std::make_unique<StreamCompressor>();
+    }
 }
 
 void FrameLink::connected()
@@ -99,20 +112,42 @@
         if (m_in.size() - offset < headerBytes + length) {
             break;
         }
-        const auto type = static_cast<FrameType>(m_in[offset + headerBytes - 1]);
+        const auto kind = static_cast<unsigned char>(m_in[offset + headerBytes - 1]);
         const std::string_view payload(m_in.data() + offset + headerBytes, length);
         offset += headerBytes + length;
-        if (type == FrameType::Ping) {
-            send(FrameType::Pong, {});
-        } else if (type != FrameType::Pong) {
-            if (const auto hook = onFrame) {
-                hook(type, payload);
-            }
+        if (!readFrame(kind, payload)) {
+            fail();
+            return;
         }
     }
     m_in.erase(0, offset);
 }
 
+// Returns false if the frame is malformed.
+bool FrameLink::readFrame(unsigned char kind, std::string_view payload)
+{
+    const auto type = static_cast<FrameType>(kind & ~compressedFlag);
+    std::string content;
+    if (kind & compressedFlag) {
+        if (!m_decompressor) {
+            m_decompressor = std::make_unique<StreamDecompressor>();
+            startCompressing();
+        }
+        if (!m_decompressor->add(payload, maxFrameBytes, content)) {
+            return false;
+        }
+        payload = content;
+    }
+    if (type == FrameType::Ping) {
+        send(FrameType::Pong, {});
+    } else if (type != FrameType::Pong) {
+        if (const auto hook = onFrame) {
+            hook(type, payload);
+        }
+    }
+    return true;
+}
+
 void FrameLink::checkSilence(bool answerExpected)
 {
     const TimeMs now = m_clock.now();
@@ -193,6 +228,9 @@
     link->onClosed = [this, address, raw = link.get()] {
         drop(address, raw);
     };
+    if (!isCompressed || isCompressed(address)) {
+        link->startCompressing();
+    }
     m_links[address] = link;
     return link.get();
 }
--- a/packages/mesh/framelink.h
+++ b/packages/mesh/framelink.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/deflatestream.h"
 #include "messages.h"
 #include "net/tcp.h"
 
@@ -11,7 +12,8 @@
 
 namespace Yuccagrade::Mesh
 {
-/// A connection between two own processes that carries frames: 4 bytes length (network order), 1 byte kind, payload.
+/// A connection between two own processes that carries frames: 4 bytes length (network order), 1 byte kind, payload. A
+/// set high bit of the kind marks a compressed payload.
 class FrameLink : public std::enable_shared_from_this<FrameLink>
 {
 public:
@@ -23,6 +25,8 @@
     std::function<void()> onClosed;
 
     void send(FrameType type, std::string_view payload);
+    /// Compresses small frames from now on; the peer does the same once it gets the first one.
+    void startCompressing();
     void close();
     bool isOpen() const
     {
@@ -55,10 +59,13 @@
     void start();
     void connected();
     void read(std::string_view data);
+    bool readFrame(unsigned char kind, std::string_view payload);
     void fail();
 
     std::shared_ptr<TcpStream> m_stream;
     const Clock &m_clock;
+    std::unique_ptr<StreamCompressor> m_compressor;
+    std::unique_ptr<StreamDecompressor> m_decompressor;
     std::string m_in;
     TimeMs m_heardAt;
     TimeMs m_pingedAt = 0;
@@ -83,6 +90,8 @@
     ClosedHandler onClosed;
     /// True if an answer is expected from the process at an address.
     std::function<bool(const std::string &address)> isBusy;
+    /// True if frames to an address are to be compressed; without this hook all are.
+    std::function<bool(const std::string &address)> isCompressed;
 
     /// Returns the link to @p address, which may still be connecting; null if it cannot be opened or failed recently.
     FrameLink *link(const std::string &address);
--- a/packages/meshnode/directory.cpp
+++ b/packages/meshnode/directory.cpp
@@ -59,6 +59,13 @@
     }
 }
 
+bool Directory::isInOwnDomain(const std::string &peerAddress) const
+{
+    return std::any_of(m_upstreams.begin(), m_upstreams.end(), [&](const auto &item) {
+        return item.second.entry.peerAddress == peerAddress && item.second.entry.domain == m_domain;
+    });
+}
+
 double Directory::score(const Upstream &upstream, double nowMs)
 {
     const bool fresh = nowMs - upstream.loadAtMs < loadValidMs && upstream.load.limit > 0;
--- a/packages/meshnode/directory.h
+++ b/packages/meshnode/directory.h
@@ -38,6 +38,8 @@
     void noteLoad(const std::string &upstreamId, const LoadReport &load, double nowMs);
     /// A call could not be sent or got no answer: the upstream is avoided for a while.
     void noteFailure(const std::string &upstreamId, double nowMs);
+    /// True if the node at @p peerAddress is known to be in the domain of this node.
+    bool isInOwnDomain(const std::string &peerAddress) const;
     std::size_t size() const
     {
         return m_upstreams.size();
--- a/packages/meshnode/meshnode.cpp
+++ b/packages/meshnode/meshnode.cpp
@@ -134,6 +134,10 @@
     m_links.isBusy = [this](const std::string &address) {
         return m_broker.expectsReply(address) || m_leader.expectsReply(address);
     };
+    // Bytes between domains cost more than the time to compress them.
+    m_links.isCompressed = [this](const std::string &address) {
+        return !m_broker.directory().isInOwnDomain(address);
+    };
     m_upstreams.onStateChanged = [this] {
         stateChanged();
     };
--- a/tests/base/outputtest.cpp
+++ b/tests/base/outputtest.cpp
@@ -1,6 +1,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "base/compress.h"
+#include "base/deflatestream.h"
 #include "base/eventlog.h"
 #include "base/metrics.h"
 
@@ -127,3 +128,19 @@
     BOOST_TEST(!decompress("not zlib", 1'000, result));
     BOOST_TEST(!decompress({}, 1'000, result));
 }
+
+// Guards against forged compressed messages that take all memory or throw.
+BOOST_AUTO_TEST_CASE(compressedMessagesAreBoundedAndChecked)
+{
+    StreamCompressor compressor;
+    const std::string message(5'000, 'x');
+    StreamDecompressor decompressor;
+    std::string result;
+    for (int i = 0; i < 3; ++i) {
+        BOOST_REQUIRE(decompressor.add(compressor.add(message), 5'000, result));
+        BOOST_TEST((result == message));
+    }
+    BOOST_TEST(!decompressor.add(compressor.add(message + "x"), 5'000, result));
+    StreamDecompressor forged;
+    BOOST_TEST(!forged.add("\xff\xff not deflate", 1'000, result));
+}
--- a/tests/mesh/meshtest.cpp
+++ b/tests/mesh/meshtest.cpp
@@ -170,6 +170,49 @@
     BOOST_TEST(closed);
 }
 
+// Guards against compressed frames that do not arrive as they were sent, in either direction.
+BOOST_AUTO_TEST_CASE(compressedFramesArriveUnchanged)
+{
+    EventLoop loop;
+    std::shared_ptr<FrameLink> accepted;
+    std::uint64_t sentBack = 0;
+    TcpListener listener(loop, [&](std::shared_ptr<TcpStream> stream) {
+        accepted = FrameLink::open(std::move(stream), loop.clock());
+        accepted->onFrame = [&](FrameType type, std::string_view payload) {
+            accepted->send(type, payload);
+        };
+    });
+    BOOST_REQUIRE(!listener.listen("127.0.0.1:0"));
+    const auto stream = TcpStream::connect(loop, listener.address(), {});
+    const auto link = FrameLink::open(stream, loop.clock());
+    link->startCompressing();
+    std::vector<std::string> sent;
+    std::size_t sentBytes = 0;
+    for (int i = 0; i < 200; ++i) {
+        sent.push_back("GET /stock/" + std::to_string(i) + std::string(300, 'h') + (i % 50 == 0 ? std::string(40'000, 'b') : std::string()));
+        sentBytes += sent.back().size();
+    }
+    std::vector<std::string> received;
+    link->onFrame = [&](FrameType type, std::string_view payload) {
+        BOOST_TEST((type == FrameType::Call));
+        received.emplace_back(payload);
+        if (received.size() == sent.size()) {
+            sentBack = stream->sent();
+            loop.stop();
+        }
+    };
+    for (const std::string &text : sent) {
+        link->send(FrameType::Call, text);
+    }
+    loop.after(5'000, [&] {
+        loop.stop();
+    });
+    loop.run();
+    BOOST_TEST((received == sent));
+    // Frames above the limit are sent as they are, the small ones take less than a fifth of their size.
+    BOOST_TEST(sentBack < 4 * 41'000 + (sentBytes - 4 * 40'000) / 5);
+}
+
 // Guards against calls that are counted as sent although the link was never established.
 BOOST_AUTO_TEST_CASE(linkThatWasNeverEstablishedIsToldApart)
 {
