A new leader publishes its directory while it fills

The list is now marked as incomplete: nodes add to what they know and remove nothing. A node that does not know the size of the fleet takes the retry budget's part of a large one. Ruled out: the time to elect a leader (0.67 s after the start) and to read the log (0.04 s).

--- a/packages/mesh/messages.cpp
+++ b/packages/mesh/messages.cpp
@@ -101,6 +101,7 @@
                     m.hasDocument,
                     m.document,
                     m.hasDirectory,
+                    m.directoryComplete,
                     m.directoryVersion,
                     m.directoryTerm,
                     m.directory,
--- a/packages/mesh/messages.h
+++ b/packages/mesh/messages.h
@@ -156,6 +156,7 @@
     bool hasDocument = false;
     std::string document; ///< compressed
     bool hasDirectory = false;
+    bool directoryComplete = false; ///< false while nodes may be missing that have not reported to a new leader
     std::uint64_t directoryVersion = 0;
     std::uint64_t directoryTerm = 0;
     std::vector<UpstreamEntry> directory;
--- a/packages/meshcontrol/fleetregistry.cpp
+++ b/packages/meshcontrol/fleetregistry.cpp
@@ -48,6 +48,11 @@
         > 0;
 }
 
+bool FleetRegistry::isComplete(TimeMs now) const
+{
+    return now - m_startedAt >= collectMs;
+}
+
 std::vector<UpstreamEntry> FleetRegistry::directory() const
 {
     std::vector<UpstreamEntry> result;
--- a/packages/meshcontrol/fleetregistry.h
+++ b/packages/meshcontrol/fleetregistry.h
@@ -15,6 +15,9 @@
 class FleetRegistry
 {
 public:
+    /// Time in which all nodes find a new leader and report to it.
+    static constexpr TimeMs collectMs = 1'500;
+
     /// @param startedAt begin of the term; tokens of the time before belong to former leaders.
     explicit FleetRegistry(TimeMs startedAt)
         : m_startedAt(startedAt)
@@ -25,7 +28,10 @@
     bool report(const SyncMessage &message, TimeMs now);
     /// Removes nodes that were silent for too long. Returns true if the directory changed.
     bool expire(TimeMs now);
+    /// Upstreams of the nodes that have reported so far.
     std::vector<UpstreamEntry> directory() const;
+    /// True once collectMs have passed since the begin of the term.
+    bool isComplete(TimeMs now) const;
     /// Divides each team's rate by demand; call it before shares(). Shares of silent nodes stay reserved until they are
     /// certain to have ended, so that the sum never exceeds the whole.
     void divide(TimeMs now);
--- a/packages/meshcontrol/meshcontrol.cpp
+++ b/packages/meshcontrol/meshcontrol.cpp
@@ -17,11 +17,11 @@
 namespace
 {
 constexpr TimeMs reportPeriodMs = 300;
-// A new leader publishes no directory before all nodes had time to report to it.
-constexpr TimeMs collectMs = 1'500;
 constexpr TimeMs dividePeriodMs = 250;
 // Changes within this time go out together.
 constexpr TimeMs pushDelayMs = 20;
+// The same while nodes report to a new leader for the first time: each report changes the directory.
+constexpr TimeMs collectPushMs = 100;
 constexpr TimeMs expirePeriodMs = 500;
 // After SIGTERM operators' calls are answered for this time.
 constexpr TimeMs stopDelayMs = 300;
@@ -153,6 +153,11 @@
         m_levels = LevelController();
         loadRates();
         m_results.clear();
+        if (leads) {
+            m_loop.after(FleetRegistry::collectMs, [this] {
+                directoryChanged();
+            });
+        }
     };
 }
 
@@ -362,9 +367,9 @@
         reply.document = packedDocument();
         session.configIndex = m_store.index();
     }
-    const bool collected = m_loop.clock().now() - m_leadsSince > collectMs;
-    if (collected && (session.directoryVersion != m_directoryVersion || session.directoryTerm != term)) {
+    if (session.directoryVersion != m_directoryVersion || session.directoryTerm != term) {
         reply.hasDirectory = true;
+        reply.directoryComplete = m_registry.isComplete(m_loop.clock().now());
         reply.directory = m_registry.directory();
         session.directoryVersion = m_directoryVersion;
         session.directoryTerm = term;
@@ -387,7 +392,7 @@
         return;
     }
     m_pushScheduled = true;
-    m_loop.after(pushDelayMs, [this] {
+    m_loop.after(m_registry.isComplete(m_loop.clock().now()) ? pushDelayMs : collectPushMs, [this] {
         m_pushScheduled = false;
         push();
     });
--- a/packages/meshnode/directory.h
+++ b/packages/meshnode/directory.h
@@ -20,7 +20,7 @@
 
     /// Replaces the list. What was learned of upstreams that stay is kept.
     void replace(const std::vector<UpstreamEntry> &entries);
-    /// Takes the newer state of the upstreams of one node, as that node told it.
+    /// Takes the newer state of some upstreams; the others stay.
     void update(const std::vector<UpstreamEntry> &entries);
     /// Returns the upstream of @p service to which a call goes next, or null if none can take it. Upstreams in
     /// @p tried are left out, and so are those whose node is not @p reachable.
--- a/packages/meshnode/meshnode.cpp
+++ b/packages/meshnode/meshnode.cpp
@@ -289,8 +289,12 @@
     if (reply.hasDirectory) {
         m_directoryVersion = reply.directoryVersion;
         m_directoryTerm = reply.directoryTerm;
-        m_broker.directory().replace(reply.directory);
-        m_broker.retryTokens().setNodes(reply.directory.size());
+        if (reply.directoryComplete) {
+            m_broker.directory().replace(reply.directory);
+            m_broker.retryTokens().setNodes(reply.directory.size());
+        } else {
+            m_broker.directory().update(reply.directory);
+        }
     }
     m_broker.teamMeter().setShares(reply.shares);
     m_broker.setLevels(reply.levels);
--- a/packages/meshnode/retrytokens.cpp
+++ b/packages/meshnode/retrytokens.cpp
@@ -11,12 +11,15 @@
 constexpr double minCap = 1;
 // Tokens from requests that may be saved up, in ms of the window.
 constexpr double savedShare = 0.1;
+// Until the number of nodes is known, the part of a node is that in a large fleet.
+constexpr double assumedNodes = 100;
 }
 
 RetryTokens::RetryTokens(double ratio, double perWindow, double windowMs)
     : m_ratio(ratio * usedShare)
     , m_perWindow(perWindow * usedShare)
     , m_windowMs(windowMs)
+    , m_nodes(assumedNodes)
 {
 }
 
--- a/packages/meshnode/retrytokens.h
+++ b/packages/meshnode/retrytokens.h
@@ -30,7 +30,7 @@
     double m_ratio;
     double m_perWindow;
     double m_windowMs;
-    double m_nodes = 1;
+    double m_nodes;
     std::map<std::string, Tokens> m_tokens;
 };
 }
--- a/tests/meshcontrol/meshcontroltest.cpp
+++ b/tests/meshcontrol/meshcontroltest.cpp
@@ -56,6 +56,22 @@
 }
 }
 
+// Guards against nodes that get no upstream, or lose those they know, while a new leader does not know all of them.
+BOOST_AUTO_TEST_CASE(directoryOfANewLeaderIsPublishedIncomplete)
+{
+    FleetRegistry registry(1'000);
+    registry.report(nodeReport("10.0.0.1:7000", 1), 1'100);
+    BOOST_TEST(registry.directory().size() == 1U);
+    BOOST_TEST(!registry.isComplete(1'100));
+    SyncReplyMessage reply;
+    reply.hasDirectory = true;
+    reply.directory = registry.directory();
+    SyncReplyMessage read;
+    BOOST_REQUIRE(decode(encode(reply), read));
+    BOOST_TEST(!read.directoryComplete);
+    BOOST_TEST(registry.isComplete(1'000 + FleetRegistry::collectMs));
+}
+
 // Guards against two operators whose changes on the same version are both accepted.
 BOOST_AUTO_TEST_CASE(oneOfTwoChangesOnTheSameVersionWins)
 {
--- a/tests/meshnode/decisiontest.cpp
+++ b/tests/meshnode/decisiontest.cpp
@@ -88,6 +88,17 @@
     BOOST_TEST(directory.choose("stock", 1, 400, {}, onlySouth, 5'000)->id == "3");
 }
 
+// Guards against upstreams that are forgotten because a new leader has not heard of them yet.
+BOOST_AUTO_TEST_CASE(incompleteListsRemoveNothing)
+{
+    Directory directory("north", Random(1));
+    directory.replace({upstream("1", "north"), upstream("2", "north")});
+    directory.update({upstream("2", "north", UpstreamState::Draining), upstream("3", "south")});
+    BOOST_TEST(directory.size() == 3U);
+    BOOST_TEST(directory.choose("stock", 1, 400, {}, everywhere, 0)->id == "1");
+    BOOST_TEST(directory.choose("stock", 1, 400, {"1"}, everywhere, 0)->id == "3");
+}
+
 // Guards against a full upstream nearby that is preferred to an idle one elsewhere.
 BOOST_AUTO_TEST_CASE(choiceFollowsTheLoad)
 {
@@ -119,6 +130,17 @@
     BOOST_TEST(retried > 10);
 }
 
+// Guards against a node that takes the whole budget for itself before it knows how many share it.
+BOOST_AUTO_TEST_CASE(unknownFleetsAreTakenForLargeOnes)
+{
+    RetryTokens tokens(0.2, 49, 10'000);
+    int taken = 0;
+    for (double now = 1; now < 10'000; now += 10) {
+        taken += tokens.tryTake("stock", now) ? 1 : 0;
+    }
+    BOOST_TEST(taken <= 3);
+}
+
 // Guards against repeated sends of all nodes together beyond the shared budget.
 BOOST_AUTO_TEST_CASE(retriesOfAllNodesStayWithinTheBudget, *utf::label("property"))
 {
