--- a/packages/meshnode/upstreamqueue.cpp
+++ b/packages/meshnode/upstreamqueue.cpp
@@ -7,7 +7,7 @@
 {
 namespace
 {
-// A call of the next lower priority waits this much longer than one that arrived at the same time.
+// A new request of the next lower priority waits this much longer than one that has to start at the same time.
 constexpr double priorityStepMs = 20;
 constexpr int maxPriorityStep = 10;
 // Part of the latency goal that a new request may wait here; a refusal after more than an eighth of the goal is late.
@@ -32,7 +32,7 @@
 void UpstreamQueue::add(OfferedCall call)
 {
     const int step = call.message.nested ? 0 : std::clamp(call.message.priority, 0, maxPriorityStep);
-    const double place = call.arrivedMs + step * priorityStepMs;
+    const double place = call.startByMs + step * priorityStepMs;
     m_calls.emplace(place, std::move(call));
 }
 
--- a/packages/meshnode/upstreamqueue.h
+++ b/packages/meshnode/upstreamqueue.h
@@ -22,7 +22,8 @@
     std::uint64_t owner = 0; ///< tells the senders' call ids apart
 };
 
-/// Calls that wait for a slot of an upstream. Priorities shift a call's place by a bounded time, so that none starves.
+/// Calls that wait for a slot of an upstream, in the order of their latest start: a new request with a tight goal goes
+/// before a nested call that has time. Priorities shift the place by a bounded time, so that none starves.
 class UpstreamQueue
 {
 public:
@@ -44,7 +45,7 @@
     bool remove(std::uint64_t owner, std::uint64_t callId);
 
 private:
-    std::multimap<double, OfferedCall> m_calls; ///< by effective arrival
+    std::multimap<double, OfferedCall> m_calls; ///< by latest start, shifted by priority
 };
 
 /// Sets the deadline and the latest start of a call that arrived at @p nowMs.
