--- a/packages/meshcontrol/levelcontroller.cpp
+++ b/packages/meshcontrol/levelcontroller.cpp
@@ -9,7 +9,7 @@
 constexpr TimeMs updatePeriodMs = 100;
 constexpr TimeMs reportValidMs = 1'000;
 // Part of the usable slots that may be needed: short fluctuations still find a slot.
-constexpr double targetUse = 0.97;
+constexpr double targetUse = 0.92;
 // Change of the level per second for the excess of the need. Requests that were let in go on calling for about a second,
 // so a faster controller overshoots.
 constexpr double gainPerS = 2.0;
