--- a/packages/mesh/framelink.cpp
+++ b/packages/mesh/framelink.cpp
@@ -22,8 +22,8 @@
 constexpr TimeMs connectTimeoutMs = 400;
 constexpr TimeMs checkPeriodMs = 100;
 // Pause before an address that failed is tried again; it doubles up to the limit.
-constexpr TimeMs minReconnectMs = 200;
-constexpr TimeMs maxReconnectMs = 1'600;
+constexpr TimeMs minReconnectMs = 100;
+constexpr TimeMs maxReconnectMs = 400;
 // An address that nobody wanted for this time is no longer tried.
 constexpr TimeMs forgetFailureMs = 10'000;
 // Memory for frames that a peer does not take.
--- a/packages/meshnode/admissionlevel.cpp
+++ b/packages/meshnode/admissionlevel.cpp
@@ -9,7 +9,7 @@
 // Priorities that are told apart: 0 (first) to 2.
 constexpr int lowestPriority = 2;
 // Levels of a leader that was silent for this time say nothing.
-constexpr double levelValidMs = 2'000;
+constexpr double levelValidMs = 4'000;
 }
 
 AdmissionLevel::AdmissionLevel(Random random)
