--- a/packages/mesh/meshsettings.cpp
+++ b/packages/mesh/meshsettings.cpp
@@ -23,6 +23,9 @@
     Option{.name = "name", .type = Name, .required = true, .help = "Name of the process, unique in the fleet."},
     Option{.name = "domain", .type = Name, .required = true, .help = "Failure domain of the host."},
     Option{.name = "host", .type = IpAddress, .required = true, .help = "IP number of the host, also of outgoing connections."},
+    Option{.name = "listen-host",
+           .type = IpAddress,
+           .help = "IP number on which other processes are accepted, if it is not that of the host."},
     Option{.name = "peer-port", .type = Integer, .minimum = 1, .maximum = 65'535, .required = true, .help = "Port for other processes, the same on all hosts."},
     Option{.name = "metrics-port", .type = Integer, .minimum = 0, .maximum = 65'535, .fallback = "0", .help = "Port that serves /metrics; 0 for none."},
     Option{.name = "caller-address", .type = Address, .help = "Node: listens for callers and for calls of the upstream."},
@@ -78,6 +81,7 @@
     settings.domain = section.text("domain");
     settings.hostIp = section.text("host");
     settings.peerAddress = addressOf(settings.hostIp, section.integer("peer-port"));
+    settings.peerListenAddress = addressOf(section.isSet("listen-host") ? section.text("listen-host") : settings.hostIp, section.integer("peer-port"));
     settings.metricsAddress = addressOf(settings.hostIp, section.integer("metrics-port"));
     settings.callerAddress = section.text("caller-address");
     settings.readinessAddress = section.text("readiness-address");
--- a/packages/mesh/meshsettings.h
+++ b/packages/mesh/meshsettings.h
@@ -28,7 +28,8 @@
     std::string name;
     std::string domain;
     std::string hostIp;
-    std::string peerAddress;
+    std::string peerAddress; ///< by which other processes know this one
+    std::string peerListenAddress; ///< where it accepts them
     std::string metricsAddress;
     std::string callerAddress; ///< node only
     std::string readinessAddress; ///< node only
--- a/packages/meshcontrol/meshcontrol.cpp
+++ b/packages/meshcontrol/meshcontrol.cpp
@@ -170,7 +170,7 @@
         }
         return !error;
     };
-    return m_group.open() && listen(m_peers, m_settings.peerAddress) && listen(m_operators, m_settings.operatorAddress)
+    return m_group.open() && listen(m_peers, m_settings.peerListenAddress) && listen(m_operators, m_settings.operatorAddress)
         && listen(m_metricsPort, m_settings.metricsAddress);
 }
 
--- a/packages/meshnode/callbroker.cpp
+++ b/packages/meshnode/callbroker.cpp
@@ -342,6 +342,20 @@
         && call.deadlineMs - now() > minAttemptMs;
 }
 
+// Another send of a call that reached an upstream costs tokens. While services on its way are short of slots, a failure is
+// mostly a refused nested call, and a second run would make all nested calls again.
+bool CallBroker::payRepeat(const Call &call, CallOutcome outcome)
+{
+    const double at = now();
+    if (outcome == CallOutcome::NotOffered) {
+        return true;
+    }
+    if (outcome == CallOutcome::Answered && m_admission.level(call.service, at) > 0) {
+        return false;
+    }
+    return m_retryTokens.tryTake(call.service, outcome != CallOutcome::Declined, at);
+}
+
 void CallBroker::release(const CallPtr &call)
 {
     if (!call->waiting) {
@@ -385,7 +399,7 @@
     if (outcome == CallOutcome::Answered) {
         call->lastAnswer = std::move(reply);
     }
-    if (mayRepeat(*call, outcome) && (outcome == CallOutcome::NotOffered || m_retryTokens.tryTake(call->service, at)) && dispatch(call)) {
+    if (mayRepeat(*call, outcome) && payRepeat(*call, outcome) && dispatch(call)) {
         m_log.write(Event::CallRepeated,
                     {{"request", call->requestId},
                      {"service", call->service},
--- a/packages/meshnode/callbroker.h
+++ b/packages/meshnode/callbroker.h
@@ -127,6 +127,7 @@
     bool dispatch(const CallPtr &call);
     void conclude(const CallPtr &call, ReplyMessage reply);
     bool mayRepeat(const Call &call, CallOutcome outcome) const;
+    bool payRepeat(const Call &call, CallOutcome outcome);
     void settle(const CallPtr &call);
     void deadline(const CallPtr &call);
     void callerLeft(const CallPtr &call);
--- a/packages/meshnode/meshnode.cpp
+++ b/packages/meshnode/meshnode.cpp
@@ -169,7 +169,7 @@
         }
         return !error;
     };
-    return listen(m_peers, m_settings.peerAddress) && listen(m_callers, m_settings.callerAddress) && listen(m_readiness, m_settings.readinessAddress)
+    return listen(m_peers, m_settings.peerListenAddress) && listen(m_callers, m_settings.callerAddress) && listen(m_readiness, m_settings.readinessAddress)
         && listen(m_announcements, m_settings.announcementAddress) && listen(m_metricsPort, m_settings.metricsAddress);
 }
 
--- a/packages/meshnode/retrytokens.cpp
+++ b/packages/meshnode/retrytokens.cpp
@@ -6,9 +6,12 @@
 {
 namespace
 {
-// Part of the shared budget that is used. A repeated request repeats its nested calls as well, and these count again.
-constexpr double usedShare = 0.3;
-constexpr double minCap = 1;
+// Part of the shared budget that is used by calls of one service; the rest is for the nested calls of repeated runs.
+constexpr double usedShare = 0.6;
+// Tokens for another send of a call that may have run. Along a chain of three services with nested calls, the repeated
+// runs use as much as the last service's own repeated sends.
+constexpr double secondRunCost = 3;
+constexpr double firstLevel = 1; // tokens of a service that is called for the first time
 // Tokens from requests that may be saved up, in ms of the window.
 constexpr double savedShare = 0.1;
 // Until the number of nodes is known, the part of a node is that in a large fleet.
@@ -30,14 +33,14 @@
 
 double RetryTokens::cap() const
 {
-    return std::max(minCap, m_perWindow / m_nodes * savedShare + 2);
+    return std::max(secondRunCost, m_perWindow / m_nodes * savedShare + 2);
 }
 
 RetryTokens::Tokens &RetryTokens::refill(const std::string &service, double nowMs)
 {
     Tokens &tokens = m_tokens[service];
     if (tokens.updatedMs == 0) {
-        tokens.level = minCap;
+        tokens.level = firstLevel;
     } else {
         tokens.level = std::min(cap(), tokens.level + (nowMs - tokens.updatedMs) * m_perWindow / m_nodes / m_windowMs);
     }
@@ -51,13 +54,14 @@
     tokens.level = std::min(cap(), tokens.level + m_ratio);
 }
 
-bool RetryTokens::tryTake(const std::string &service, double nowMs)
+bool RetryTokens::tryTake(const std::string &service, bool mayHaveRun, double nowMs)
 {
     Tokens &tokens = refill(service, nowMs);
-    if (tokens.level < 1) {
+    const double cost = mayHaveRun ? secondRunCost : 1;
+    if (tokens.level < cost) {
         return false;
     }
-    tokens.level -= 1;
+    tokens.level -= cost;
     return true;
 }
 }
--- a/packages/meshnode/retrytokens.h
+++ b/packages/meshnode/retrytokens.h
@@ -16,8 +16,9 @@
     void setNodes(std::size_t nodes);
     /// A request of @p service was sent for the first time.
     void noteRequest(const std::string &service, double nowMs);
-    /// Takes a token if there is one.
-    bool tryTake(const std::string &service, double nowMs);
+    /// Takes what another send costs, if it is there. A send of a call that may have run costs more, since the nested calls
+    /// of the second run are repeated sends as well.
+    bool tryTake(const std::string &service, bool mayHaveRun, double nowMs);
 
 private:
     struct Tokens {
--- a/tests/meshnode/decisiontest.cpp
+++ b/tests/meshnode/decisiontest.cpp
@@ -138,7 +138,7 @@
     RetryTokens tokens(0.2, 49, 10'000);
     int taken = 0;
     for (double now = 1; now < 10'000; now += 10) {
-        taken += tokens.tryTake("stock", now) ? 1 : 0;
+        taken += tokens.tryTake("stock", false, now) ? 1 : 0;
     }
     BOOST_TEST(taken <= 3);
 }
@@ -165,7 +165,7 @@
                 requests += 1;
             }
             for (int i = 0; i < 3; ++i) {
-                repeats += node.tryTake("stock", now) ? 1 : 0;
+                repeats += node.tryTake("stock", random.below(2) == 0, now) ? 1 : 0;
             }
         }
         RC_ASSERT(repeats <= ratio * requests + fixed);
--- /dev/null
+++ b/tests/soak/soak.cpp
@@ -0,0 +1,552 @@
+// Runs a mesh of real processes under random faults and checks what callers, servers and operators see.
+// Usage: soak PROGRAM FOLDER SEED [FAULT_SECONDS]. Exit codes: 0 no promise broken, 1 broken, 2 usage.
+
+#include "soakfleet.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <filesystem>
+#include <iostream>
+
+using namespace Yuccagrade;
+using namespace Yuccagrade::Soak;
+
+namespace
+{
+constexpr TimeMs startBoundMs = 20'000;
+constexpr TimeMs requestPeriodMs = 6;
+constexpr TimeMs callerTimeoutMs = 2'500;
+constexpr TimeMs orderPeriodMs = 900;
+constexpr TimeMs orderTimeoutMs = 1'000;
+constexpr TimeMs readPeriodMs = 300;
+// A read sent later than this after an acknowledgement returns nothing older.
+constexpr double applyMs = 2'000;
+constexpr TimeMs minFaultMs = 150;
+constexpr TimeMs faultSpreadMs = 700;
+constexpr TimeMs maxDurationMs = 4'000;
+constexpr TimeMs settleMs = 9'000;
+constexpr TimeMs measureMs = 3'000;
+constexpr TimeMs stopMs = 7'000; // of one node in turn
+// After its restart a control host has this time to catch up before another disk may be lost.
+constexpr TimeMs catchUpMs = 6'000;
+constexpr double wantedShare = 0.95;
+
+class SoakRun
+{
+public:
+    SoakRun(const std::string &program, const std::string &folder, std::uint64_t seed, TimeMs faultMs);
+    /// Returns true if no promise was broken.
+    bool run();
+
+private:
+    Host &randomHost(bool control);
+    void call();
+    std::shared_ptr<CallerConnection> connectionTo(Host &node);
+    std::string document() const;
+    void order();
+    void sendOrder(const std::string &address, int redirects);
+    void read();
+    void fault();
+    void note(const std::string &what) const;
+    void end(Host &host, TimeMs downMs);
+    void cut(TimeMs durationMs);
+    void checkProcesses();
+    void recover();
+    void measure();
+    void stopInTurn(std::size_t node);
+    void begin();
+
+    EventLoop m_loop;
+    Ledger m_ledger;
+    Random m_random;
+    TimeMs m_faultMs;
+    Fleet m_fleet;
+    std::map<std::string, std::vector<std::shared_ptr<CallerConnection>>> m_connections; ///< by node
+    std::vector<std::string> m_keys{"key-0"};
+    std::uint64_t m_version = 1;
+    std::uint64_t m_base = 0;
+    std::uint64_t m_acknowledged = 0;
+    std::map<std::uint64_t, double> m_acknowledgedMs;
+    std::string m_pendingKey; ///< withdrawn by the order that is on its way
+    std::string m_order; ///< document that is sent until it is acknowledged
+    std::set<std::shared_ptr<CallerConnection>> m_operatorCalls;
+    std::uint64_t m_lastRequest = 0;
+    std::uint64_t m_whole = 0;
+    std::uint64_t m_asked = 0;
+    TimeMs m_wipeAllowedAt = 0;
+    bool m_faults = false;
+    bool m_measuring = false;
+    bool m_calm = false; ///< only planned stops
+};
+
+SoakRun::SoakRun(const std::string &program, const std::string &folder, std::uint64_t seed, TimeMs faultMs)
+    : m_ledger(m_loop)
+    , m_random(seed)
+    , m_faultMs(faultMs)
+    , m_fleet(m_loop, m_ledger, program, folder, seed)
+{
+}
+
+Host &SoakRun::randomHost(bool control)
+{
+    std::vector<Host *> found;
+    for (Host &host : m_fleet.hosts()) {
+        if (host.control == control) {
+            found.push_back(&host);
+        }
+    }
+    return *found.at(m_random.below(found.size()));
+}
+
+// Clients use open connections until the process is gone, but open none to a node that stops.
+std::shared_ptr<CallerConnection> SoakRun::connectionTo(Host &node)
+{
+    auto &open = m_connections[node.name];
+    std::erase_if(open, [](const auto &connection) {
+        return connection.use_count() == 1 && !connection->isIdle();
+    });
+    for (const auto &connection : open) {
+        if (connection->isIdle()) {
+            return connection;
+        }
+    }
+    if (!node.process || node.stopping) {
+        return nullptr;
+    }
+    const auto connection = CallerConnection::open(m_loop, node.callerAddress, m_ledger);
+    if (connection) {
+        open.push_back(connection);
+    }
+    return connection;
+}
+
+void SoakRun::call()
+{
+    Host &node = randomHost(false);
+    const auto connection = connectionTo(node);
+    if (!connection) {
+        return;
+    }
+    const std::string id = "r" + std::to_string(++m_lastRequest);
+    const bool idempotent = m_random.below(5) < 3;
+    const std::string key = m_keys.at(m_random.below(m_keys.size()));
+    const std::string body = idempotent ? std::string() : "pay " + id + std::string(m_random.below(2'000), 'p');
+    const bool measured = m_measuring && key == "key-0";
+    m_asked += measured ? 1 : 0;
+    m_ledger.sent(id, {.idempotent = idempotent, .key = key, .callerService = m_fleet.serviceOf(node), .body = body, .service = "front"});
+    connection->send(renderRequest(idempotent ? "GET" : "POST",
+                                   (idempotent ? "/read/" : "/pay/") + id,
+                                   {{"X-Yuccagrade-Request-Id", id},
+                                    {"X-Yuccagrade-Deadline-Ms", std::to_string(callerTimeoutMs)},
+                                    {"Authorization", "Bearer " + key}},
+                                   body),
+                     callerTimeoutMs,
+                     [this, id, measured](const std::optional<HttpMessage> &answer) {
+                         m_ledger.answered(id, answer);
+                         m_whole += measured && answer && answer->status == 200 ? 1 : 0;
+                         if (m_calm && !answer && m_ledger.runsOf(id) > 0) {
+                             m_ledger.violation("planned stop cuts " + id + ", which ran");
+                         }
+                     });
+}
+
+std::string SoakRun::document() const
+{
+    const auto route = [](const std::string &name, const std::string &kind, const std::string &service, bool open) {
+        return "{\"name\":\"" + name + "\",\"host\":\"a.example\",\"pathPrefix\":\"/" + name + "/\",\"routeType\":\"" + kind
+            + "\",\"timeoutS\":2,\"targetLatencyS\":0.5,\"priority\":1,\"maxAttempts\":2,\"public\":" + (open ? "true" : "false") + ",\"service\":\"" + service
+            + "\"}";
+    };
+    const auto service = [](const std::string &name) {
+        return "{\"name\":\"" + name + R"(","healthCheck":"/healthz","maxConnections":200,"protocol":"h1","tls":false})";
+    };
+    std::string keys;
+    for (const std::string &key : m_keys) {
+        keys += (keys.empty() ? "\"" : ",\"") + key + '"';
+    }
+    char version[9];
+    std::snprintf(version, sizeof version, "%08llx", static_cast<unsigned long long>(m_version));
+    return std::string("{\"version\":\"") + version + "\",\"routes\":[" + route("read", "safe", "front", false) + ','
+        + route("pay", "unsafe", "front", false) + ',' + route("deep", "safe", "deep", true) + "],\"services\":[" + service("front") + ',' + service("deep")
+        + R"(],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeoutS":3,"idleTimeoutS":15},)"
+        + R"("tenants":[{"name":"red","apiKeys":[)" + keys + "],\"priority\":1,\"ratePerS\":0,\"burst\":0}]}";
+}
+
+// An order is sent unchanged, to any control host, until it is acknowledged. Each one adds a key and withdraws the last one.
+void SoakRun::order()
+{
+    if (m_order.empty()) {
+        m_version += 1 + m_random.below(3);
+        const std::string added = "key-" + std::to_string(m_version);
+        m_pendingKey = m_keys.size() > 1 ? m_keys.back() : std::string();
+        m_keys = {"key-0", added};
+        m_order = document();
+    }
+    sendOrder(randomHost(true).operatorAddress, 2);
+}
+
+void SoakRun::sendOrder(const std::string &address, int redirects)
+{
+    const auto connection = CallerConnection::open(m_loop, address, m_ledger);
+    if (!connection) {
+        return;
+    }
+    m_operatorCalls.insert(connection);
+    char base[9];
+    std::snprintf(base, sizeof base, "%08llx", static_cast<unsigned long long>(m_base));
+    connection->send(renderRequest("POST", "/Config.Put", {{"X-Yuccagrade-Base-Version", m_base == 0 ? "0" : base}}, m_order),
+                     orderTimeoutMs,
+                     [this, connection, redirects, version = m_version](const std::optional<HttpMessage> &answer) {
+                         m_operatorCalls.erase(connection);
+                         if (!answer || version != m_version || m_order.empty()) {
+                             return;
+                         }
+                         const std::string *location = answer->field("Location");
+                         if (answer->status == 307 && location && redirects > 0) {
+                             const std::string rest = location->substr(std::string("http://").size());
+                             // The operators' address of the leader is not behind the proxy.
+                             for (const Host &host : m_fleet.hosts()) {
+                                 if (host.control && rest.starts_with(host.ip + ':')) {
+                                     sendOrder(host.operatorAddress, redirects - 1);
+                                 }
+                             }
+                         } else if (answer->status == 200) {
+                             m_base = version;
+                             m_acknowledged = version;
+                             m_acknowledgedMs[version] = m_loop.clock().preciseMs();
+                             if (!m_pendingKey.empty()) {
+                                 m_ledger.keyWithdrawn(m_pendingKey);
+                             }
+                             m_order.clear();
+                         } else if (answer->status >= 400 && answer->status < 500) {
+                             m_ledger.violation("order " + std::to_string(version) + " is refused with " + std::to_string(answer->status));
+                         }
+                     });
+}
+
+void SoakRun::read()
+{
+    Host &host = randomHost(true);
+    const auto connection = CallerConnection::open(m_loop, host.operatorAddress, m_ledger);
+    if (!connection) {
+        return;
+    }
+    m_operatorCalls.insert(connection);
+    std::uint64_t expected = 0;
+    for (const auto &[version, acknowledgedMs] : m_acknowledgedMs) {
+        if (acknowledgedMs + applyMs < m_loop.clock().preciseMs()) {
+            expected = version;
+        }
+    }
+    connection->send(renderRequest("GET", "/Config.Get", {}, {}), orderTimeoutMs, [this, connection, expected, name = host.name](const auto &answer) {
+        m_operatorCalls.erase(connection);
+        if (!answer || answer->status != 200) {
+            return;
+        }
+        const std::uint64_t version = std::stoull(answer->body.substr(std::string("{\"version\":\"").size(), 8), nullptr, 16);
+        if (version < expected) {
+            m_ledger.violation(name + " returns version " + std::to_string(version) + " after " + std::to_string(expected) + " was acknowledged");
+        }
+    });
+}
+
+// Kills a process and starts it again after a while.
+void SoakRun::end(Host &host, TimeMs downMs)
+{
+    if (!host.process) {
+        return;
+    }
+    note("kill " + host.name + ", back after " + std::to_string(downMs) + " ms");
+    m_fleet.kill(host);
+    m_loop.after(downMs, [this, &host] {
+        if (!host.process) {
+            m_fleet.start(host, false);
+        }
+    });
+}
+
+void SoakRun::cut(TimeMs durationMs)
+{
+    Test::FaultRule rule;
+    switch (m_random.below(5)) {
+    case 0:
+        rule.cut = Test::FaultRule::Cut::Stall;
+        break;
+    case 1:
+        rule.cut = Test::FaultRule::Cut::Refuse;
+        break;
+    case 2:
+        rule.stallToTarget = true;
+        break;
+    case 3:
+        rule.stallToSender = true;
+        break;
+    default:
+        rule.delayMs = 10 + static_cast<double>(m_random.below(150));
+        break;
+    }
+    // Of one host, or of a whole domain, to all others.
+    const Host &victim = m_fleet.hosts().at(m_random.below(m_fleet.hosts().size()));
+    const bool whole = m_random.below(2) == 0;
+    std::vector<std::pair<const Host *, const Host *>> paths;
+    for (const Host &a : m_fleet.hosts()) {
+        for (const Host &b : m_fleet.hosts()) {
+            const bool inA = whole ? a.domain == victim.domain : &a == &victim;
+            const bool inB = whole ? b.domain == victim.domain : &b == &victim;
+            if (inA != inB) {
+                paths.emplace_back(&a, &b);
+            }
+        }
+    }
+    note("path fault of " + (whole ? "domain " + victim.domain : victim.name) + " for " + std::to_string(durationMs) + " ms: cut "
+         + std::to_string(static_cast<int>(rule.cut)) + ", stalls " + std::to_string(rule.stallToTarget) + std::to_string(rule.stallToSender) + ", delay "
+         + std::to_string(rule.delayMs));
+    for (const auto &[from, to] : paths) {
+        m_fleet.setPath(*from, *to, rule);
+    }
+    m_loop.after(durationMs, [this, paths] {
+        for (const auto &[from, to] : paths) {
+            m_fleet.setPath(*from, *to, {});
+        }
+    });
+}
+
+void SoakRun::note(const std::string &what) const
+{
+    std::cout << m_loop.clock().now() << ' ' << what << std::endl;
+}
+
+void SoakRun::fault()
+{
+    if (!m_faults) {
+        return;
+    }
+    m_loop.after(minFaultMs + static_cast<TimeMs>(m_random.below(faultSpreadMs)), [this] {
+        fault();
+    });
+    const auto durationMs = static_cast<TimeMs>(100 + m_random.below(maxDurationMs));
+    const TimeMs downMs = 100 + durationMs / 3;
+    const TimeMs now = m_loop.clock().now();
+    const std::size_t server = m_random.below(m_fleet.servers());
+    switch (m_random.below(9)) {
+    case 0:
+        end(randomHost(false), downMs);
+        break;
+    case 1:
+        end(randomHost(true), downMs);
+        break;
+    case 2:
+        if (m_random.below(4) == 0) { // all control hosts at once
+            for (Host &host : m_fleet.hosts()) {
+                if (host.control) {
+                    end(host, 100 + static_cast<TimeMs>(m_random.below(800)));
+                }
+            }
+        }
+        break;
+    case 3:
+        if (Host &host = randomHost(true); now >= m_wipeAllowedAt) {
+            m_wipeAllowedAt = now + downMs + catchUpMs;
+            note("lose the disk of " + host.name);
+            m_fleet.wipe(host);
+            m_loop.after(downMs, [this, &host] {
+                m_fleet.start(host, false);
+            });
+        }
+        break;
+    case 4:
+        if (Host &host = m_fleet.hosts().at(m_random.below(m_fleet.hosts().size())); host.process && !host.frozen) {
+            host.frozen = true;
+            note("freeze " + host.name + " for " + std::to_string(durationMs) + " ms");
+            host.process->freeze();
+            m_loop.after(durationMs, [&host] {
+                if (host.process && host.frozen) {
+                    host.process->resume();
+                }
+                host.frozen = false;
+            });
+        }
+        break;
+    case 5:
+        cut(durationMs);
+        break;
+    case 6:
+        if (Host &host = randomHost(false); host.process && !host.frozen && !host.stopping) {
+            host.stopping = true;
+            note("stop " + host.name);
+            host.process->terminate();
+        }
+        break;
+    case 7:
+        if (m_fleet.server(server).isRunning() && m_random.below(2) == 0) {
+            note("crash server " + std::to_string(server));
+            m_fleet.server(server).crash();
+            m_loop.after(downMs, [this, server] {
+                if (!m_fleet.server(server).isRunning()) {
+                    m_fleet.server(server).start();
+                }
+            });
+        } else if (m_fleet.server(server).isRunning()) {
+            note("drain server " + std::to_string(server));
+            m_fleet.server(server).restartPlanned();
+        }
+        break;
+    default: {
+        Test::FaultRule rule;
+        rule.dropAnswers = static_cast<int>(m_random.below(4));
+        rule.holdAnswers = static_cast<int>(m_random.below(4));
+        rule.holdMs = static_cast<double>(m_random.below(400));
+        rule.delayMs = static_cast<double>(m_random.below(60));
+        note("path fault of server " + std::to_string(server) + ": " + std::to_string(rule.dropAnswers) + " answers lost");
+        m_fleet.setServerPath(server, rule);
+        m_loop.after(durationMs, [this, server] {
+            m_fleet.setServerPath(server, {});
+        });
+    }
+    }
+}
+
+void SoakRun::checkProcesses()
+{
+    for (Host &host : m_fleet.hosts()) {
+        if (!host.process || host.process->running()) {
+            continue;
+        }
+        const int code = host.process->exitCode().value_or(-1);
+        if (!host.stopping || code != 0) {
+            m_ledger.violation(host.name + " ended by itself with code " + std::to_string(code));
+        }
+        m_fleet.start(host, false);
+    }
+}
+
+void SoakRun::begin()
+{
+    std::cout << "faults begin after " << m_lastRequest << " requests" << std::endl;
+    m_faults = true;
+    fault();
+    m_loop.after(m_faultMs, [this] {
+        recover();
+    });
+}
+
+void SoakRun::recover()
+{
+    m_faults = false;
+    m_fleet.heal();
+    for (Host &host : m_fleet.hosts()) {
+        if (host.process && host.frozen) {
+            host.process->resume();
+            host.frozen = false;
+        }
+        if (!host.process) {
+            m_fleet.start(host, false);
+        }
+    }
+    for (std::size_t i = 0; i < m_fleet.servers(); ++i) {
+        if (!m_fleet.server(i).isRunning()) {
+            m_fleet.server(i).start();
+        }
+    }
+    m_loop.after(settleMs, [this] {
+        measure();
+    });
+}
+
+void SoakRun::measure()
+{
+    m_measuring = true;
+    m_loop.after(measureMs, [this] {
+        m_measuring = false;
+        std::cout << "after the faults " << m_whole << " of " << m_asked << " requests are whole; configuration " << m_acknowledged << std::endl;
+        if (m_asked == 0 || static_cast<double>(m_whole) < wantedShare * static_cast<double>(m_asked)) {
+            m_ledger.violation("the mesh has not recovered");
+        }
+        if (m_order.empty() ? m_acknowledged == 0 : m_loop.clock().preciseMs() - m_acknowledgedMs[m_acknowledged] > static_cast<double>(measureMs)) {
+            m_ledger.violation("no order was acknowledged after the faults");
+        }
+        m_calm = true;
+        stopInTurn(0);
+    });
+}
+
+void SoakRun::stopInTurn(std::size_t node)
+{
+    std::vector<Host *> nodes;
+    for (Host &host : m_fleet.hosts()) {
+        if (!host.control) {
+            nodes.push_back(&host);
+        }
+    }
+    if (node >= 2) {
+        m_loop.stop();
+        return;
+    }
+    Host &host = *nodes.at((m_random.below(2) + 2 * node) % nodes.size());
+    host.stopping = true;
+    host.process->terminate();
+    m_loop.after(stopMs, [this, node] {
+        stopInTurn(node + 1);
+    });
+}
+
+bool SoakRun::run()
+{
+    m_loop.every(requestPeriodMs, [this] {
+        call();
+    });
+    m_loop.every(orderPeriodMs, [this] {
+        order();
+    });
+    m_loop.every(readPeriodMs, [this] {
+        read();
+    });
+    m_loop.every(200, [this] {
+        checkProcesses();
+    });
+    const TimeMs startedAt = m_loop.clock().now();
+    const auto startTimer = std::make_shared<TimerId>();
+    *startTimer = m_loop.every(100, [this, startedAt, startTimer] {
+        m_measuring = true;
+        if (m_whole > 50) {
+            m_measuring = false;
+            m_whole = 0;
+            m_asked = 0;
+            m_loop.cancel(*startTimer);
+            begin();
+        } else if (m_loop.clock().now() - startedAt > startBoundMs) {
+            m_ledger.violation("the mesh did not start");
+            m_loop.stop();
+        }
+    });
+    m_loop.run();
+    m_ledger.checkRetryBudget();
+    for (const std::string &text : m_ledger.violations()) {
+        std::cout << "BROKEN: " << text << '\n';
+    }
+    std::cout << m_lastRequest << " requests, " << m_ledger.violations().size() << " promises broken" << std::endl;
+    return m_ledger.violations().empty();
+}
+}
+
+int main(int argc, char **argv)
+{
+    if (argc < 4) {
+        std::cerr << "usage: soak PROGRAM FOLDER SEED [FAULT_SECONDS]\n";
+        return 2;
+    }
+    const std::uint64_t seed = std::stoull(argv[3]);
+    const std::string folder = std::filesystem::absolute(std::string(argv[2]) + "/seed-" + std::to_string(seed));
+    std::filesystem::remove_all(folder);
+    const TimeMs faultMs = (argc > 4 ? std::stoll(argv[4]) : 12) * 1'000;
+    bool kept = false;
+    {
+        SoakRun soak(argv[1], folder, seed, faultMs);
+        kept = soak.run();
+    }
+    std::cout << "seed " << seed << (kept ? ": kept" : ": broken; logs in the folder of the seed") << std::endl;
+    if (kept) {
+        std::filesystem::remove_all(folder);
+    }
+    return kept ? 0 : 1;
+}
--- /dev/null
+++ b/tests/soak/soakfleet.cpp
@@ -0,0 +1,139 @@
+#include "soakfleet.h"
+
+#include "support/address.h"
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+
+namespace Yuccagrade::Soak
+{
+namespace
+{
+constexpr int domains = 3;
+constexpr int nodesPerDomain = 2;
+constexpr auto peerPort = "7000";
+constexpr auto serverPort = "8000";
+
+std::string at(const std::string &ip, const std::string &port)
+{
+    return ip + ':' + port;
+}
+}
+
+Fleet::Fleet(EventLoop &loop, Ledger &ledger, const std::string &program, const std::string &folder, std::uint64_t seed)
+    : m_loop(loop)
+    , m_ledger(ledger)
+    , m_program(program)
+    , m_proxy(std::make_unique<Test::FaultProxy>())
+{
+    const auto add = [&](const std::string &name, int domain, bool control) {
+        Host host;
+        host.name = name;
+        host.domain = std::string(1, static_cast<char>('a' + domain));
+        host.ip = Test::nextLoopbackIp();
+        host.listenIp = Test::nextLoopbackIp();
+        host.control = control;
+        host.callerAddress = at(host.listenIp, "80" + std::string(control ? "91" : "90"));
+        host.operatorAddress = at(host.listenIp, "8092");
+        host.folder = folder + '/' + name;
+        std::filesystem::create_directories(host.folder + "/data");
+        m_proxy->addTarget(at(host.ip, peerPort), at(host.listenIp, peerPort));
+        m_hosts.push_back(std::move(host));
+    };
+    for (int i = 0; i < domains; ++i) {
+        add("control-" + std::to_string(i), i, true);
+    }
+    for (int i = 0; i < domains * nodesPerDomain; ++i) {
+        add("node-" + std::to_string(i), i % domains, false);
+        const Host &node = m_hosts.back();
+        m_proxy->addTarget(at(node.ip, serverPort), at(node.listenIp, serverPort));
+        const std::string service = serviceOf(node);
+        m_servers.push_back(std::make_unique<Server>(m_loop,
+                                                     m_ledger,
+                                                     Server::Plan{"s" + std::to_string(i),
+                                                                  service,
+                                                                  service == "front" ? "/deep/" : "",
+                                                                  node.domain,
+                                                                  at(node.listenIp, serverPort),
+                                                                  at(node.ip, serverPort),
+                                                                  at(node.listenIp, "8093"),
+                                                                  node.callerAddress},
+                                                     Random(seed + 100 + static_cast<std::uint64_t>(i))));
+    }
+    for (Host &host : m_hosts) {
+        start(host, true);
+    }
+    for (const auto &server : m_servers) {
+        server->start();
+    }
+}
+
+Fleet::~Fleet() = default;
+
+// The first node of each domain has a server of front, the second one a server of deep.
+std::string Fleet::serviceOf(const Host &node) const
+{
+    return std::stoi(node.name.substr(node.name.find('-') + 1)) < domains ? "front" : "deep";
+}
+
+void Fleet::writeSettings(const Host &host, bool first) const
+{
+    std::ofstream out(host.folder + "/settings.ini", std::ios::trunc);
+    out << "role = " << (host.control ? "control" : "node") << "\nname = " << host.name << "\ndomain = " << host.domain << "\nhost = " << host.ip
+        << "\nlisten-host = " << host.listenIp << "\npeer-port = " << peerPort << "\nmetrics-port = 9100\nseeds = ";
+    for (int i = 0; i < domains; ++i) {
+        out << (i > 0 ? "," : "") << at(m_hosts.at(static_cast<std::size_t>(i)).ip, "8092");
+    }
+    if (host.control) {
+        out << "\noperator-address = " << host.operatorAddress << "\ndata-folder = " << host.folder << "/data\nfound-group = " << (first ? "true" : "false");
+    } else {
+        out << "\ncaller-address = " << host.callerAddress << "\nreadiness-address = " << at(host.listenIp, "8094")
+            << "\nannouncement-address = " << at(host.listenIp, "8093") << "\nservice = " << serviceOf(host)
+            << "\nupstream-address = " << at(host.ip, serverPort);
+    }
+    out << "\ntolerated-hosts = 1\nwithdrawal-s = " << Ledger::withdrawalMs / 1'000
+        << "\nstop-s = 6\nretry-ratio = 0.2\nretry-per-window = 50\nretry-window-s = 10\n";
+}
+
+void Fleet::start(Host &host, bool first)
+{
+    writeSettings(host, first);
+    host.frozen = false;
+    host.stopping = false;
+    const std::string settings = host.folder + "/settings.ini";
+    ::setenv("YUCCAGRADE_BOOT", settings.c_str(), 1);
+    host.process = std::make_unique<Test::Process>(std::vector<std::string>{m_program, "--platform"}, host.folder + "/log", host.folder + "/errors");
+}
+
+void Fleet::kill(Host &host)
+{
+    if (host.process) {
+        host.process->kill();
+        host.process.reset();
+    }
+}
+
+void Fleet::wipe(Host &host)
+{
+    kill(host);
+    std::filesystem::remove_all(host.folder + "/data");
+    std::filesystem::create_directories(host.folder + "/data");
+}
+
+void Fleet::setPath(const Host &from, const Host &to, const Test::FaultRule &rule)
+{
+    m_proxy->setRule(from.ip, at(to.ip, peerPort), rule);
+}
+
+void Fleet::setServerPath(std::size_t index, const Test::FaultRule &rule)
+{
+    const Host &node = m_hosts.at(static_cast<std::size_t>(domains) + index);
+    m_proxy->setRule(node.ip, at(node.ip, serverPort), rule);
+}
+
+void Fleet::heal()
+{
+    m_proxy->clearRules();
+}
+}
--- /dev/null
+++ b/tests/soak/soakfleet.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "standins.h"
+#include "support/faultproxy.h"
+#include "support/process.h"
+
+namespace Yuccagrade::Soak
+{
+/// One process of the mesh behind the proxy.
+struct Host {
+    std::string name;
+    std::string domain;
+    std::string ip; ///< as other processes know it; the proxy listens here
+    std::string listenIp;
+    std::string callerAddress; ///< node only
+    std::string operatorAddress; ///< control only
+    std::string folder; ///< of its settings and data
+    bool control = false;
+    bool frozen = false;
+    bool stopping = false; ///< got SIGTERM
+    std::unique_ptr<Test::Process> process;
+};
+
+/// The real processes of a mesh with stand-in servers: three domains, each with a control host and two nodes.
+class Fleet
+{
+public:
+    Fleet(EventLoop &loop, Ledger &ledger, const std::string &program, const std::string &folder, std::uint64_t seed);
+    ~Fleet();
+
+    std::vector<Host> &hosts()
+    {
+        return m_hosts;
+    }
+    Server &server(std::size_t index)
+    {
+        return *m_servers.at(index);
+    }
+    std::size_t servers() const
+    {
+        return m_servers.size();
+    }
+    /// Starts the process of a host. @p first is true only when the whole system starts for the first time.
+    void start(Host &host, bool first);
+    void kill(Host &host);
+    /// Kills a control host and removes its data.
+    void wipe(Host &host);
+    /// Sets the rule of the path between two hosts, in the direction of the connection.
+    void setPath(const Host &from, const Host &to, const Test::FaultRule &rule);
+    /// Sets the rule between a node and its server.
+    void setServerPath(std::size_t index, const Test::FaultRule &rule);
+    /// Removes all faults of the network.
+    void heal();
+    /// Service of the server beside a node.
+    std::string serviceOf(const Host &node) const;
+
+private:
+    void writeSettings(const Host &host, bool first) const;
+
+    EventLoop &m_loop;
+    Ledger &m_ledger;
+    std::string m_program;
+    std::vector<Host> m_hosts; ///< control hosts first
+    std::vector<std::unique_ptr<Server>> m_servers; ///< one for each node, in their order
+    std::unique_ptr<Test::FaultProxy> m_proxy;
+};
+}
