Calls wait for a reachable upstream; retry tokens are saved by the rate of requests

Nested calls now wait for up to 80% of their time, new requests for a tenth of their goal, if no node with an upstream was reached. Failed links are tried every 0.2 s.

--- a/packages/mesh/framelink.cpp
+++ b/packages/mesh/framelink.cpp
@@ -23,7 +23,7 @@
 constexpr TimeMs checkPeriodMs = 100;
 // Pause before an address that failed is tried again; it doubles up to the limit.
 constexpr TimeMs minReconnectMs = 100;
-constexpr TimeMs maxReconnectMs = 400;
+constexpr TimeMs maxReconnectMs = 200;
 // An address that nobody wanted for this time is no longer tried.
 constexpr TimeMs forgetFailureMs = 10'000;
 // Memory for frames that a peer does not take.
--- a/packages/mesh/messages.h
+++ b/packages/mesh/messages.h
@@ -30,6 +30,7 @@
     int busy = 0; ///< running and queued calls
     int limit = 0; ///< calls that may run at once; 0 if unknown
     double offered = 0; ///< slots that the offered calls need, refused ones included
+    bool makesCalls = true; ///< the upstream called other services lately
 };
 
 /// A call from the node beside the caller to the node beside the upstream.
--- a/packages/meshnode/callbroker.cpp
+++ b/packages/meshnode/callbroker.cpp
@@ -21,11 +21,14 @@
 constexpr double retryAfterSpreadMs = 400;
 constexpr double isolatedRetryAfterMs = 1'000;
 constexpr int firstServerError = 500;
-// A route may move; services that were called before that say nothing.
-constexpr double calledLatelyMs = 3'000;
 // A request waits this long for the leader to grant a token, and is checked this often.
 constexpr double parkedMaxMs = 60;
 constexpr TimeMs parkCheckMs = 20;
+// Parts of the time of a nested call and of the goal of a new request that it waits while no upstream is reachable: a
+// process that was killed is back after some 0.5 s. Work done for the request of a nested call would be lost.
+constexpr double nestedAwaitShare = 0.8;
+constexpr double rootAwaitShare = 0.1;
+constexpr TimeMs awaitCheckMs = 20;
 // After a leader that did not answer, the node's share is used for this time before the leader is asked again.
 constexpr double sharesFallbackMs = 500;
 }
@@ -189,6 +192,7 @@
     call.service = pickService(*call.route);
     if (call.nested) {
         m_calledAtMs[call.service] = call.arrivedMs;
+        m_lastNestedMs = call.arrivedMs;
         return true;
     }
     if (m_admission.admits(call.service, call.route->priority, call.arrivedMs)) {
@@ -243,12 +247,55 @@
         deadline(call);
     });
     m_retryTokens.noteRequest(call->service, call->arrivedMs);
-    if (!dispatch(call)) {
+    if (!dispatchOrAwait(call)) {
         call->lastReason = "no upstream can take the call";
         settle(call);
     }
 }
 
+// Returns false if there is no upstream to wait for either: nodes were reached and refused, or the time to wait is over.
+bool CallBroker::dispatchOrAwait(const CallPtr &call)
+{
+    if (dispatch(call)) {
+        return true;
+    }
+    const double at = now();
+    if (call->awaitUntilMs == 0) {
+        call->awaitUntilMs =
+            at + (call->nested ? (call->deadlineMs - at) * nestedAwaitShare : static_cast<double>(call->route->latencyGoalMs) * rootAwaitShare);
+    }
+    if (call->refusedByNode || at >= call->awaitUntilMs) {
+        return false;
+    }
+    // A node that was tried may be back by then.
+    call->tried.clear();
+    m_awaiting.push_back(call);
+    scheduleAwaiting();
+    return true;
+}
+
+void CallBroker::scheduleAwaiting()
+{
+    if (m_awaitingScheduled) {
+        return;
+    }
+    m_awaitingScheduled = true;
+    m_loop.after(awaitCheckMs, [this] {
+        m_awaitingScheduled = false;
+        retryAwaiting();
+    });
+}
+
+void CallBroker::retryAwaiting()
+{
+    for (const CallPtr &call : std::exchange(m_awaiting, {})) {
+        if (m_calls.contains(call->id) && !dispatchOrAwait(call)) {
+            call->lastReason = "no upstream was reachable in time";
+            settle(call);
+        }
+    }
+}
+
 // Sends the call to the best upstream that was not tried. Returns false if there is none.
 bool CallBroker::dispatch(const CallPtr &call)
 {
@@ -353,7 +400,7 @@
     if (outcome == CallOutcome::Answered && m_admission.level(call.service, at) > 0) {
         return false;
     }
-    return m_retryTokens.tryTake(call.service, outcome != CallOutcome::Declined, at);
+    return m_retryTokens.tryTake(call.service, outcome != CallOutcome::Declined && m_directory.makesCalls(call.service), at);
 }
 
 void CallBroker::release(const CallPtr &call)
@@ -386,6 +433,7 @@
     }
     if (reply.outcome == CallOutcome::NotOffered) {
         ++call->refusals;
+        call->refusedByNode = call->refusedByNode || heard;
     } else {
         ++call->arrivals;
     }
@@ -399,12 +447,12 @@
     if (outcome == CallOutcome::Answered) {
         call->lastAnswer = std::move(reply);
     }
-    if (mayRepeat(*call, outcome) && payRepeat(*call, outcome) && dispatch(call)) {
+    if (mayRepeat(*call, outcome) && payRepeat(*call, outcome) && dispatchOrAwait(call)) {
         m_log.write(Event::CallRepeated,
                     {{"request", call->requestId},
                      {"service", call->service},
                      {"outcome", std::string(outcomeName(outcome))},
-                     {"next", call->upstreamId},
+                     {"next", call->waiting ? call->upstreamId : std::string("none reachable")},
                      {"arrivals", std::to_string(call->arrivals)},
                      {"refusals", std::to_string(call->refusals)},
                      {"reason", call->lastReason}});
--- a/packages/meshnode/callbroker.h
+++ b/packages/meshnode/callbroker.h
@@ -68,6 +68,10 @@
     }
     /// Services that the upstream of this host called lately while it served other calls.
     std::vector<std::string> calledServices() const;
+    bool makesNestedCalls() const
+    {
+        return !m_calledAtMs.empty() && now() - m_lastNestedMs < calledLatelyMs;
+    }
     Directory &directory()
     {
         return m_directory;
@@ -86,6 +90,9 @@
     }
 
 private:
+    /// A route may move; services that were called before that say nothing.
+    static constexpr double calledLatelyMs = 3'000;
+
     /// A request of a caller.
     struct Call {
         std::uint64_t id = 0;
@@ -107,6 +114,8 @@
         int arrivals = 0; ///< upstreams that got the call
         int refusals = 0; ///< nodes that refused it
         bool mayHaveRun = false;
+        bool refusedByNode = false; ///< a node was reached and had no slot
+        double awaitUntilMs = 0; ///< without a reachable upstream it is refused then; 0 before the first wait
         std::set<std::string> tried;
         std::string upstreamId; ///< of the present attempt
         std::string peerAddress; ///< of the present attempt; empty for this host
@@ -125,6 +134,9 @@
     void begin(const CallPtr &call);
     std::string pickService(const Route &route);
     bool dispatch(const CallPtr &call);
+    bool dispatchOrAwait(const CallPtr &call);
+    void retryAwaiting();
+    void scheduleAwaiting();
     void conclude(const CallPtr &call, ReplyMessage reply);
     bool mayRepeat(const Call &call, CallOutcome outcome) const;
     bool payRepeat(const Call &call, CallOutcome outcome);
@@ -159,9 +171,12 @@
     std::unordered_map<std::uint64_t, CallPtr> m_calls;
     std::map<std::string, std::deque<CallPtr>> m_parked; ///< by team: calls that wait for a token
     bool m_parkedCheckScheduled = false;
+    std::deque<CallPtr> m_awaiting; ///< calls for which no upstream is reachable at present
+    bool m_awaitingScheduled = false;
     std::map<std::string, int> m_callsOfPeer;
     std::map<std::string, std::vector<double>> m_weightCredit; ///< by route name, one for each service
     std::map<std::string, double> m_calledAtMs; ///< last nested call, by service
+    double m_lastNestedMs = 0;
     std::uint64_t m_lastCall = 0;
 };
 }
--- a/packages/meshnode/directory.cpp
+++ b/packages/meshnode/directory.cpp
@@ -163,6 +163,20 @@
     upstream.avoidUntilMs = 0;
 }
 
+bool Directory::makesCalls(std::string_view service) const
+{
+    bool heard = false;
+    for (const auto &[id, upstream] : m_upstreams) {
+        if (upstream.entry.service == service && upstream.loadAtMs > 0) {
+            heard = true;
+            if (upstream.load.makesCalls) {
+                return true;
+            }
+        }
+    }
+    return !heard;
+}
+
 void Directory::noteFailure(const std::string &upstreamId, double nowMs)
 {
     const auto found = m_upstreams.find(upstreamId);
--- a/packages/meshnode/directory.h
+++ b/packages/meshnode/directory.h
@@ -36,6 +36,8 @@
     void noteServiceTime(const std::string &upstreamId, std::uint32_t kind, double serviceMs, double nowMs);
     /// Takes the load that came with an answer.
     void noteLoad(const std::string &upstreamId, const LoadReport &load, double nowMs);
+    /// False if the nodes that were heard of say that no upstream of @p service calls other services.
+    bool makesCalls(std::string_view service) const;
     /// A call could not be sent or got no answer: the upstream is avoided for a while.
     void noteFailure(const std::string &upstreamId, double nowMs);
     /// True if the node at @p peerAddress is known to be in the domain of this node.
--- a/packages/meshnode/meshnode.cpp
+++ b/packages/meshnode/meshnode.cpp
@@ -141,6 +141,9 @@
     m_upstreams.onStateChanged = [this] {
         stateChanged();
     };
+    m_upstreams.makesCalls = [this] {
+        return m_broker.makesNestedCalls();
+    };
     m_broker.teamMeter().ask = [this](const TokenRequest &request) {
         const std::string leader = m_leader.leader();
         FrameLink *link = leader.empty() ? nullptr : m_links.link(leader);
--- a/packages/meshnode/retrytokens.h
+++ b/packages/meshnode/retrytokens.h
@@ -16,17 +16,18 @@
     void setNodes(std::size_t nodes);
     /// A request of @p service was sent for the first time.
     void noteRequest(const std::string &service, double nowMs);
-    /// Takes what another send costs, if it is there. A send of a call that may have run costs more, since the nested calls
-    /// of the second run are repeated sends as well.
-    bool tryTake(const std::string &service, bool mayHaveRun, double nowMs);
+    /// Takes what another send costs, if it is there. It costs more if the call may have made nested calls, which the second
+    /// run repeats.
+    bool tryTake(const std::string &service, bool repeatsCalls, double nowMs);
 
 private:
     struct Tokens {
         double level = 0;
         double updatedMs = 0;
+        double requests = 0; ///< about those of the last window
     };
     Tokens &refill(const std::string &service, double nowMs);
-    double cap() const;
+    double cap(const Tokens &tokens) const;
 
     double m_ratio;
     double m_perWindow;
--- a/packages/meshnode/upstreamport.cpp
+++ b/packages/meshnode/upstreamport.cpp
@@ -447,6 +447,7 @@
 LoadReport UpstreamPort::load() const
 {
     LoadReport report;
+    report.makesCalls = !makesCalls || makesCalls();
     for (const auto &[id, upstream] : m_upstreams) {
         if (stateOf(upstream) == UpstreamState::Ready) {
             report.busy += upstream.active + static_cast<int>(upstream.queue.size());
--- a/packages/meshnode/upstreamport.h
+++ b/packages/meshnode/upstreamport.h
@@ -31,6 +31,8 @@
 
     /// The state of an upstream changed.
     std::function<void()> onStateChanged;
+    /// Returns true if the upstream of this host called other services lately.
+    std::function<bool()> makesCalls;
 
     void setConfig(std::shared_ptr<const FleetConfig> config);
     /// Takes an announcement. Returns false if it is outdated or not of this host's service.
--- a/tests/meshnode/decisiontest.cpp
+++ b/tests/meshnode/decisiontest.cpp
@@ -101,6 +101,18 @@
     BOOST_TEST(directory.choose("stock", 1, 400, {"1"}, everywhere, 0)->id == "3");
 }
 
+// Guards against dear repeated sends to services that call no others, and cheap ones before anything is known.
+BOOST_AUTO_TEST_CASE(nestedCallsAreKnownFromTheUpstreamsHeard)
+{
+    Directory directory("north", Random(1));
+    directory.replace({upstream("1", "north"), upstream("2", "south")});
+    BOOST_TEST(directory.makesCalls("stock"));
+    directory.noteLoad("1", {1, 20, 0, false}, 1'000);
+    BOOST_TEST(!directory.makesCalls("stock"));
+    directory.noteLoad("2", {1, 20, 0, true}, 1'000);
+    BOOST_TEST(directory.makesCalls("stock"));
+}
+
 // Guards against a full upstream nearby that is preferred to an idle one elsewhere.
 BOOST_AUTO_TEST_CASE(choiceFollowsTheLoad)
 {
@@ -143,6 +155,22 @@
     BOOST_TEST(taken <= 3);
 }
 
+// Guards against a lost node whose calls may not be sent again because no tokens were saved.
+BOOST_AUTO_TEST_CASE(tokensAreSavedByTheRateOfRequests)
+{
+    RetryTokens tokens(0.2, 49, 10'000);
+    tokens.setNodes(15);
+    for (int i = 0; i < 650; ++i) {
+        tokens.noteRequest("stock", 1 + i * 10'000.0 / 650);
+    }
+    int taken = 0;
+    while (tokens.tryTake("stock", false, 10'001)) {
+        ++taken;
+    }
+    BOOST_TEST(taken >= 10);
+    BOOST_TEST(taken <= 0.2 * 650 + 49.0 / 15);
+}
+
 // Guards against repeated sends of all nodes together beyond the shared budget.
 BOOST_AUTO_TEST_CASE(retriesOfAllNodesStayWithinTheBudget, *utf::label("property"))
 {
