Calls that time out count for the choice of the upstream; headroom by the square root of the slots

The node of the caller notes the time of calls that it gives up, and so does the node beside the upstream; above 60% of the route's limit an upstream is avoided.

--- a/packages/meshcontrol/levelcontroller.cpp
+++ b/packages/meshcontrol/levelcontroller.cpp
@@ -1,6 +1,7 @@
 #include "levelcontroller.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Yuccagrade::Mesh
 {
@@ -8,8 +9,8 @@
 {
 constexpr TimeMs updatePeriodMs = 100;
 constexpr TimeMs reportValidMs = 1'000;
-// Part of the usable slots that may be needed: short fluctuations still find a slot.
-constexpr double targetUse = 0.92;
+// Slots are kept free for fluctuations in proportion to the square root of the usable ones (square-root staffing): 8% of 54.
+constexpr double headroom = 0.6;
 // Change of the level per second for the excess of the need. Requests that were let in go on calling for about a second,
 // so a faster controller overshoots.
 constexpr double gainPerS = 2.0;
@@ -51,7 +52,7 @@
         m_calls[node.service].insert(node.calledServices.begin(), node.calledServices.end());
     }
     for (const auto &[service, need] : needs) {
-        const double excess = need.limit > 0 ? need.offered / need.limit - targetUse : 0;
+        const double excess = need.limit > 0 ? need.offered / need.limit - (1 - headroom / std::sqrt(need.limit)) : 0;
         const double rate = std::clamp(excess * gainPerS, -maxRatePerS, maxRatePerS);
         m_own[service] = std::clamp(m_own[service] + rate * seconds, 0.0, maxLevel);
     }
--- a/packages/meshnode/callbroker.cpp
+++ b/packages/meshnode/callbroker.cpp
@@ -14,6 +14,8 @@
 constexpr double defaultTimeMs = 10'000; // of a request that states none
 // Nodes that may refuse a call before the caller is refused.
 constexpr int maxRefusals = 3;
+// An upstream whose mean time for a kind of call is above this part of the route's limit fails many of them.
+constexpr double usableLimitShare = 0.6;
 // An attempt with less time than this could not end well.
 constexpr double minAttemptMs = 20;
 // Range of the time after which a refused caller should come back.
@@ -303,6 +305,7 @@
         call->service,
         call->kind,
         static_cast<double>(call->route->latencyGoalMs),
+        static_cast<double>(call->route->timeoutMs) * usableLimitShare,
         call->tried,
         [this](const std::string &address) {
             return address == m_identity.peerAddress || !m_links.isFailing(address);
@@ -336,6 +339,7 @@
     call->upstreamId = upstream->id;
     call->peerAddress = local ? std::string() : upstream->peerAddress;
     call->waiting = true;
+    call->sentMs = now();
     m_directory.noteSent(call->upstreamId);
     if (local) {
         m_local.offer(std::move(message), localOwner, [this, weak = std::weak_ptr<Call>(call)](ReplyMessage reply) {
@@ -478,6 +482,7 @@
 {
     call->timer = 0;
     if (call->waiting) {
+        m_directory.noteTimeout(call->upstreamId, call->kind, now() - call->sentMs, now());
         cancelAttempt(*call);
         release(call);
         refuse(*call, 504, -1, Event::DeadlineExceeded, call->endsAtRouteLimit ? "time limit of the route" : "time of the caller");
--- a/packages/meshnode/callbroker.h
+++ b/packages/meshnode/callbroker.h
@@ -120,6 +120,7 @@
         std::string upstreamId; ///< of the present attempt
         std::string peerAddress; ///< of the present attempt; empty for this host
         bool waiting = false; ///< an attempt runs
+        double sentMs = 0; ///< of the present attempt
         std::optional<ReplyMessage> lastAnswer; ///< failure of an upstream, kept while another is tried
         std::string lastReason;
         TimerId timer = 0;
--- a/packages/meshnode/directory.cpp
+++ b/packages/meshnode/directory.cpp
@@ -20,6 +20,8 @@
 // A time that is this much above the goal counts no further.
 constexpr double maxTimeShare = 2;
 constexpr double timeFadeMs = 4'000;
+// Added for an upstream that is too slow for the limit of a call, above the penalties for distance and load together.
+constexpr double unusablePenalty = 1.5;
 // Spread of the score, so that nodes with the same reports do not all choose the same upstream.
 constexpr double scoreJitter = 0.05;
 constexpr double avoidMs = 300;
@@ -84,20 +86,22 @@
     return result + m_random.fraction() * scoreJitter;
 }
 
-// Part of the latency goal that the upstream needs for calls of a kind. What was learned fades, so that a slow upstream is
-// tried again.
-double Directory::timeShare(const Upstream &upstream, std::uint32_t kind, double latencyGoalMs, double nowMs)
+// What was learned fades, so that a slow upstream is tried again.
+double Directory::timePenalty(const Upstream &upstream, std::uint32_t kind, double latencyGoalMs, double usableMs, double nowMs)
 {
     const auto time = upstream.serviceTimes.find(kind);
     if (time == upstream.serviceTimes.end() || latencyGoalMs <= 0) {
         return 0;
     }
-    return std::min(time->second.ms / latencyGoalMs, maxTimeShare) * std::exp(-(nowMs - time->second.atMs) / timeFadeMs);
+    const double fade = std::exp(-(nowMs - time->second.atMs) / timeFadeMs);
+    const double unusable = time->second.ms > usableMs ? unusablePenalty : 0;
+    return (std::min(time->second.ms / latencyGoalMs, maxTimeShare) + unusable) * fade;
 }
 
 const UpstreamEntry *Directory::choose(std::string_view service,
                                        std::uint32_t kind,
                                        double latencyGoalMs,
+                                       double usableMs,
                                        const std::set<std::string> &tried,
                                        const std::function<bool(const std::string &)> &reachable,
                                        double nowMs)
@@ -114,7 +118,7 @@
             fallback = &upstream.entry;
             continue;
         }
-        const double current = score(upstream, nowMs) + timeShare(upstream, kind, latencyGoalMs, nowMs);
+        const double current = score(upstream, nowMs) + timePenalty(upstream, kind, latencyGoalMs, usableMs, nowMs);
         if (current < bestScore) {
             bestScore = current;
             best = &upstream.entry;
@@ -148,6 +152,14 @@
     }
 }
 
+void Directory::noteTimeout(const std::string &upstreamId, std::uint32_t kind, double elapsedMs, double nowMs)
+{
+    const auto found = m_upstreams.find(upstreamId);
+    if (found != m_upstreams.end() && elapsedMs > found->second.serviceTimes[kind].ms) {
+        found->second.serviceTimes[kind] = {elapsedMs, nowMs};
+    }
+}
+
 void Directory::noteLoad(const std::string &upstreamId, const LoadReport &load, double nowMs)
 {
     const auto found = m_upstreams.find(upstreamId);
--- a/packages/meshnode/directory.h
+++ b/packages/meshnode/directory.h
@@ -23,10 +23,12 @@
     /// Takes the newer state of some upstreams; the others stay.
     void update(const std::vector<UpstreamEntry> &entries);
     /// Returns the upstream of @p service to which a call goes next, or null if none can take it. Upstreams in
-    /// @p tried are left out, and so are those whose node is not @p reachable.
+    /// @p tried are left out, and so are those whose node is not @p reachable. Upstreams that take longer for calls of
+    /// @p kind are used less, as a part of the goal, and hardly above the usable time.
     const UpstreamEntry *choose(std::string_view service,
                                 std::uint32_t kind,
                                 double latencyGoalMs,
+                                double usableMs,
                                 const std::set<std::string> &tried,
                                 const std::function<bool(const std::string &peerAddress)> &reachable,
                                 double nowMs);
@@ -34,6 +36,8 @@
     void noteDone(const std::string &upstreamId);
     /// Takes the time that an upstream needs for calls of a kind.
     void noteServiceTime(const std::string &upstreamId, std::uint32_t kind, double serviceMs, double nowMs);
+    /// A call of a kind was given up after @p elapsedMs: the upstream needs at least this time.
+    void noteTimeout(const std::string &upstreamId, std::uint32_t kind, double elapsedMs, double nowMs);
     /// Takes the load that came with an answer.
     void noteLoad(const std::string &upstreamId, const LoadReport &load, double nowMs);
     /// False if the nodes that were heard of say that no upstream of @p service calls other services.
@@ -64,7 +68,7 @@
         int sentSinceLoad = 0; ///< calls that the last report does not contain
     };
     double score(const Upstream &upstream, double nowMs);
-    static double timeShare(const Upstream &upstream, std::uint32_t kind, double latencyGoalMs, double nowMs);
+    static double timePenalty(const Upstream &upstream, std::uint32_t kind, double latencyGoalMs, double usableMs, double nowMs);
 
     std::string m_domain;
     Random m_random;
--- a/packages/meshnode/upstreamport.cpp
+++ b/packages/meshnode/upstreamport.cpp
@@ -352,6 +352,7 @@
         for (const auto &connection : upstream.connections) {
             const auto &call = connection->call();
             if (call && call->owner == owner && call->message.callId == callId) {
+                noteElapsed(upstream, call->message.kind, now() - connection->sentAtMs());
                 if (call->message.idempotent) {
                     const auto kept = connection;
                     kept->close();
@@ -366,6 +367,13 @@
     }
 }
 
+// Calls that are given up would otherwise not count, and an upstream that is too slow for all calls would look fast.
+void UpstreamPort::noteElapsed(Upstream &upstream, std::uint32_t kind, double elapsedMs)
+{
+    double &ofKind = upstream.serviceMsOfKind.emplace(kind, elapsedMs).first->second;
+    ofKind += std::max(0.0, elapsedMs - ofKind) * kindSmoothing;
+}
+
 void UpstreamPort::drain()
 {
     m_draining = true;
--- a/packages/meshnode/upstreamport.h
+++ b/packages/meshnode/upstreamport.h
@@ -87,6 +87,7 @@
     std::shared_ptr<UpstreamConnection> connectionFor(const std::string &id, Upstream &upstream);
     void finished(const std::string &id, const std::shared_ptr<UpstreamConnection> &connection, OfferedCall call, ReplyMessage reply, bool connectFailed);
     void startWaiting(const std::string &id, Upstream &upstream);
+    static void noteElapsed(Upstream &upstream, std::uint32_t kind, double elapsedMs);
     void setReachable(const std::string &id, Upstream &upstream, bool reachable, const std::string &reason);
     void scheduleSweep();
     void sweep();
--- a/tests/meshnode/decisiontest.cpp
+++ b/tests/meshnode/decisiontest.cpp
@@ -77,17 +77,17 @@
 {
     Directory directory("north", Random(1));
     directory.replace({upstream("1", "north", UpstreamState::Draining), upstream("2", "north"), upstream("3", "south")});
-    BOOST_TEST(directory.choose("stock", 1, 400, {}, everywhere, 0)->id == "2");
-    BOOST_TEST(directory.choose("stock", 1, 400, {"2"}, everywhere, 0)->id == "3");
-    BOOST_TEST(!directory.choose("stock", 1, 400, {"2", "3"}, everywhere, 0));
-    BOOST_TEST(!directory.choose("orders", 1, 400, {}, everywhere, 0));
+    BOOST_TEST(directory.choose("stock", 1, 400, 1'000, {}, everywhere, 0)->id == "2");
+    BOOST_TEST(directory.choose("stock", 1, 400, 1'000, {"2"}, everywhere, 0)->id == "3");
+    BOOST_TEST(!directory.choose("stock", 1, 400, 1'000, {"2", "3"}, everywhere, 0));
+    BOOST_TEST(!directory.choose("orders", 1, 400, 1'000, {}, everywhere, 0));
     directory.noteFailure("2", 1'000);
-    BOOST_TEST(directory.choose("stock", 1, 400, {}, everywhere, 1'100)->id == "3");
-    BOOST_TEST(directory.choose("stock", 1, 400, {"3"}, everywhere, 1'100)->id == "2");
+    BOOST_TEST(directory.choose("stock", 1, 400, 1'000, {}, everywhere, 1'100)->id == "3");
+    BOOST_TEST(directory.choose("stock", 1, 400, 1'000, {"3"}, everywhere, 1'100)->id == "2");
     const auto onlySouth = [](const std::string &address) {
         return address == "10.0.0.3:7000";
     };
-    BOOST_TEST(directory.choose("stock", 1, 400, {}, onlySouth, 5'000)->id == "3");
+    BOOST_TEST(directory.choose("stock", 1, 400, 1'000, {}, onlySouth, 5'000)->id == "3");
 }
 
 // Guards against upstreams that are forgotten because a new leader has not heard of them yet.
@@ -97,8 +97,8 @@
     directory.replace({upstream("1", "north"), upstream("2", "north")});
     directory.update({upstream("2", "north", UpstreamState::Draining), upstream("3", "south")});
     BOOST_TEST(directory.size() == 3U);
-    BOOST_TEST(directory.choose("stock", 1, 400, {}, everywhere, 0)->id == "1");
-    BOOST_TEST(directory.choose("stock", 1, 400, {"1"}, everywhere, 0)->id == "3");
+    BOOST_TEST(directory.choose("stock", 1, 400, 1'000, {}, everywhere, 0)->id == "1");
+    BOOST_TEST(directory.choose("stock", 1, 400, 1'000, {"1"}, everywhere, 0)->id == "3");
 }
 
 // Guards against dear repeated sends to services that call no others, and cheap ones before anything is known.
@@ -120,9 +120,9 @@
     directory.replace({upstream("2", "north"), upstream("3", "south")});
     directory.noteLoad("2", {20, 20, 0}, 1'000);
     directory.noteLoad("3", {2, 20, 0}, 1'000);
-    BOOST_TEST(directory.choose("stock", 1, 400, {}, everywhere, 1'100)->id == "3");
+    BOOST_TEST(directory.choose("stock", 1, 400, 1'000, {}, everywhere, 1'100)->id == "3");
     directory.noteLoad("2", {4, 20, 0}, 1'200);
-    BOOST_TEST(directory.choose("stock", 1, 400, {}, everywhere, 1'300)->id == "2");
+    BOOST_TEST(directory.choose("stock", 1, 400, 1'000, {}, everywhere, 1'300)->id == "2");
 }
 
 // Guards against calls with a tight goal at a slow upstream, and against one that is never tried again.
@@ -135,11 +135,11 @@
     directory.noteServiceTime("2", 1, 300, 1'000);
     directory.noteServiceTime("3", 1, 100, 1'000);
     for (int i = 0; i < 20; ++i) {
-        BOOST_TEST(directory.choose("stock", 1, 400, {}, everywhere, 1'100)->id == "3");
+        BOOST_TEST(directory.choose("stock", 1, 400, 1'000, {}, everywhere, 1'100)->id == "3");
     }
     int retried = 0;
     for (int i = 0; i < 100; ++i) {
-        retried += directory.choose("stock", 1, 400, {}, everywhere, 30'000)->id == "2" ? 1 : 0;
+        retried += directory.choose("stock", 1, 400, 1'000, {}, everywhere, 30'000)->id == "2" ? 1 : 0;
     }
     BOOST_TEST(retried > 10);
 }
@@ -171,6 +171,23 @@
     BOOST_TEST(taken <= 0.2 * 650 + 49.0 / 15);
 }
 
+// Guards against an upstream that looks fast because all calls to it time out.
+BOOST_AUTO_TEST_CASE(choiceAvoidsUpstreamsWhoseCallsTimeOut)
+{
+    Directory directory("north", Random(1));
+    directory.replace({upstream("2", "north"), upstream("3", "south")});
+    directory.noteLoad("2", {2, 20, 0}, 1'000);
+    directory.noteLoad("3", {10, 20, 0}, 1'000);
+    BOOST_TEST(directory.choose("stock", 1, 700, 1'000, {}, everywhere, 1'100)->id == "2");
+    directory.noteTimeout("2", 1, 1'200, 1'100);
+    directory.noteServiceTime("3", 1, 300, 1'100);
+    BOOST_TEST(directory.choose("stock", 1, 700, 1'000, {}, everywhere, 1'200)->id == "3");
+    // Other kinds of calls may still be fast there.
+    BOOST_TEST(directory.choose("stock", 2, 700, 1'000, {}, everywhere, 1'200)->id == "2");
+    directory.noteTimeout("2", 1, 100, 1'200);
+    BOOST_TEST(directory.choose("stock", 1, 700, 1'000, {}, everywhere, 1'200)->id == "3");
+}
+
 // Guards against repeated sends of all nodes together beyond the shared budget.
 BOOST_AUTO_TEST_CASE(retriesOfAllNodesStayWithinTheBudget, *utf::label("property"))
 {
