The directory is packed once for all nodes; the soak detects more

The directory is compressed once for each version, frames above 2 KB are not deflated again, and grants are awaited for 150 ms. Soak: callers go on with withdrawn keys, control hosts are frozen for more than 3 s, all servers of a service fail most requests.

--- a/packages/mesh/framelink.cpp
+++ b/packages/mesh/framelink.cpp
@@ -10,8 +10,8 @@
 {
 constexpr std::size_t headerBytes = 5;
 constexpr unsigned char compressedFlag = 0x80;
-// Larger frames are mostly bodies, which do not resemble each other.
-constexpr std::size_t maxCompressedBytes = 16'384;
+// Larger frames are mostly bodies, which do not resemble each other, or compressed already.
+constexpr std::size_t maxCompressedBytes = 2'048;
 // Larger than the largest body of a call and its header.
 constexpr std::size_t maxFrameBytes = 80U << 20U;
 // A process that was asked and says nothing for this time is pinged ...
--- a/packages/mesh/messages.cpp
+++ b/packages/mesh/messages.cpp
@@ -55,6 +55,10 @@
 {
     return std::tie(m.upstreams, m.load);
 }
+auto fields(Is<DirectoryMessage> auto &m)
+{
+    return std::tie(m.upstreams);
+}
 auto fields(Is<TeamDemand> auto &m)
 {
     return std::tie(m.team, m.perS, m.held, m.returned);
@@ -221,6 +225,7 @@
 template std::string encode(const ReplyMessage &message);
 template std::string encode(const CancelMessage &message);
 template std::string encode(const StatusMessage &message);
+template std::string encode(const DirectoryMessage &message);
 template std::string encode(const SyncMessage &message);
 template std::string encode(const SyncReplyMessage &message);
 template std::string encode(const ConsensusMessage &message);
@@ -230,6 +235,7 @@
 template bool decode(std::string_view text, ReplyMessage &message);
 template bool decode(std::string_view text, CancelMessage &message);
 template bool decode(std::string_view text, StatusMessage &message);
+template bool decode(std::string_view text, DirectoryMessage &message);
 template bool decode(std::string_view text, SyncMessage &message);
 template bool decode(std::string_view text, SyncReplyMessage &message);
 template bool decode(std::string_view text, ConsensusMessage &message);
--- a/packages/mesh/messages.h
+++ b/packages/mesh/messages.h
@@ -98,6 +98,11 @@
     LoadReport load;
 };
 
+/// The upstreams that the leader knows.
+struct DirectoryMessage {
+    std::vector<UpstreamEntry> upstreams;
+};
+
 /// Requests of a team at one node.
 struct TeamDemand {
     std::string team;
@@ -160,7 +165,7 @@
     bool directoryComplete = false; ///< false while nodes may be missing that have not reported to a new leader
     std::uint64_t directoryVersion = 0;
     std::uint64_t directoryTerm = 0;
-    std::vector<UpstreamEntry> directory;
+    std::string directory; ///< compressed DirectoryMessage; packed once for all nodes
     std::vector<std::string> controlHosts; ///< peer addresses
     std::vector<TeamShare> shares;
     std::vector<ServiceLevel> levels;
--- a/packages/meshcontrol/meshcontrol.cpp
+++ b/packages/meshcontrol/meshcontrol.cpp
@@ -64,6 +64,7 @@
     void answerMetrics(const ExchangePtr &exchange);
     void loadRates();
     const std::string &packedDocument();
+    const std::string &packedDirectory();
     std::string leaderAddress() const;
 
     MeshSettings m_settings;
@@ -85,6 +86,8 @@
     std::map<std::uint64_t, SubmissionResult> m_results; ///< of entries proposed here
     std::string m_packedDocument; ///< compressed, of log index m_packedIndex
     std::uint64_t m_packedIndex = 0;
+    std::string m_packedDirectory; ///< compressed, of version m_packedDirectoryVersion
+    std::uint64_t m_packedDirectoryVersion = 0;
     std::string m_leaderHint; ///< leader as another control host named it
     bool m_leads = false;
     TimeMs m_leadsSince = 0;
@@ -153,6 +156,7 @@
         m_levels = LevelController();
         loadRates();
         m_results.clear();
+        m_packedDirectoryVersion = 0; // of a former term
         if (leads) {
             m_loop.after(FleetRegistry::collectMs, [this] {
                 directoryChanged();
@@ -337,6 +341,15 @@
     return m_packedDocument;
 }
 
+const std::string &ControlHost::packedDirectory()
+{
+    if (m_packedDirectoryVersion != m_directoryVersion) {
+        m_packedDirectoryVersion = m_directoryVersion;
+        m_packedDirectory = compress(encode(DirectoryMessage{m_registry.directory()}));
+    }
+    return m_packedDirectory;
+}
+
 // The leader needs the teams' rates.
 void ControlHost::loadRates()
 {
@@ -370,7 +383,7 @@
     if (session.directoryVersion != m_directoryVersion || session.directoryTerm != term) {
         reply.hasDirectory = true;
         reply.directoryComplete = m_registry.isComplete(m_loop.clock().now());
-        reply.directory = m_registry.directory();
+        reply.directory = packedDirectory();
         session.directoryVersion = m_directoryVersion;
         session.directoryTerm = term;
     }
--- a/packages/meshnode/callbroker.cpp
+++ b/packages/meshnode/callbroker.cpp
@@ -23,8 +23,9 @@
 constexpr double retryAfterSpreadMs = 400;
 constexpr double isolatedRetryAfterMs = 1'000;
 constexpr int firstServerError = 500;
-// A request waits this long for the leader to grant a token, and is checked this often.
-constexpr double parkedMaxMs = 60;
+// A request waits this long for the leader to grant a token, and is checked this often. A leader that sends a new
+// configuration to all nodes of a large fleet takes some 60 ms.
+constexpr double parkedMaxMs = 150;
 constexpr TimeMs parkCheckMs = 20;
 // Parts of the time of a nested call and of the goal of a new request that it waits while no upstream is reachable: a
 // process that was killed is back after some 0.5 s. Work done for the request of a nested call would be lost.
--- a/packages/meshnode/meshnode.cpp
+++ b/packages/meshnode/meshnode.cpp
@@ -45,6 +45,7 @@
     SyncMessage report();
     void synced(const SyncReplyMessage &reply, TimeMs sentMs);
     void applyDocument(const SyncReplyMessage &reply);
+    void applyDirectory(const SyncReplyMessage &reply);
     void announced(const std::shared_ptr<PortExchange> &exchange);
     void answerReadiness(const std::shared_ptr<PortExchange> &exchange);
     void answerMetrics(const std::shared_ptr<PortExchange> &exchange);
@@ -290,14 +291,7 @@
         applyDocument(reply);
     }
     if (reply.hasDirectory) {
-        m_directoryVersion = reply.directoryVersion;
-        m_directoryTerm = reply.directoryTerm;
-        if (reply.directoryComplete) {
-            m_broker.directory().replace(reply.directory);
-            m_broker.retryTokens().setNodes(reply.directory.size());
-        } else {
-            m_broker.directory().update(reply.directory);
-        }
+        applyDirectory(reply);
     }
     m_broker.teamMeter().setShares(reply.shares);
     m_broker.setLevels(reply.levels);
@@ -309,6 +303,24 @@
     noteProof();
 }
 
+void Node::applyDirectory(const SyncReplyMessage &reply)
+{
+    std::string text;
+    DirectoryMessage directory;
+    if (!decompress(reply.directory, maxDocumentBytes, text) || !decode(text, directory)) {
+        malformed("directory");
+        return;
+    }
+    m_directoryVersion = reply.directoryVersion;
+    m_directoryTerm = reply.directoryTerm;
+    if (reply.directoryComplete) {
+        m_broker.directory().replace(directory.upstreams);
+        m_broker.retryTokens().setNodes(directory.upstreams.size());
+    } else {
+        m_broker.directory().update(directory.upstreams);
+    }
+}
+
 void Node::noteProof()
 {
     const bool valid = m_broker.hasProof();
--- a/tests/mesh/meshtest.cpp
+++ b/tests/mesh/meshtest.cpp
@@ -83,7 +83,8 @@
     reply.leads = true;
     reply.proofAgeMs = 12.5;
     reply.document = "{}";
-    reply.directory = {{"i-1", "stock", "north", "10.0.0.1:7000", UpstreamState::Draining, 19, 1'500}};
+    const DirectoryMessage directory{{{"i-1", "stock", "north", "10.0.0.1:7000", UpstreamState::Draining, 19, 1'500}}};
+    reply.directory = encode(directory);
     reply.shares = {{"red", 0.25, 3}};
     reply.levels = {{"stock", 1.5}};
     SyncReplyMessage read;
@@ -91,7 +92,9 @@
     BOOST_TEST(read.sequence == 7U);
     BOOST_TEST(read.leads);
     BOOST_TEST(read.proofAgeMs == 12.5);
-    BOOST_TEST((read.directory == reply.directory));
+    DirectoryMessage readDirectory;
+    BOOST_REQUIRE(decode(read.directory, readDirectory));
+    BOOST_TEST((readDirectory.upstreams == directory.upstreams));
     BOOST_TEST(read.shares.front().tokens == 3);
     BOOST_TEST(read.levels.front().level == 1.5);
     CallMessage call;
--- a/tests/meshcontrol/meshcontroltest.cpp
+++ b/tests/meshcontrol/meshcontroltest.cpp
@@ -65,7 +65,7 @@
     BOOST_TEST(!registry.isComplete(1'100));
     SyncReplyMessage reply;
     reply.hasDirectory = true;
-    reply.directory = registry.directory();
+    reply.directory = encode(DirectoryMessage{registry.directory()});
     SyncReplyMessage read;
     BOOST_REQUIRE(decode(encode(reply), read));
     BOOST_TEST(!read.directoryComplete);
--- a/tests/platform/platformtest.cpp
+++ b/tests/platform/platformtest.cpp
@@ -148,7 +148,7 @@
     BOOST_TEST(read.requestId == "9c41");
     const std::string head = dialect.renderCall(request, {"t1", "s1"}) + dialect.renderHop("9c41", "i-7f", 1234.5);
     BOOST_TEST(head.starts_with("POST /p/x?q=%20 HTTP/1.1\r\n"));
-    for (const std::string &line : {"X-Yuccagrade-Tenant: t1\r\n",
+    for (const std::string line : {"X-Yuccagrade-Tenant: t1\r\n",
                                     "X-Yuccagrade-Caller-Service: s1\r\n",
                                     "X-Yuccagrade-Target-Instance: i-7f\r\n",
                                     "X-Yuccagrade-Deadline-Ms: 1234\r\n",
@@ -158,7 +158,7 @@
         BOOST_TEST(head.find(line) != std::string::npos, line);
     }
     BOOST_TEST(head.find("9c41") == head.rfind("9c41"));
-    for (const std::string &text : {"Bearer", "forged", "X-Hop", "chunked", "5000"}) {
+    for (const std::string text : {"Bearer", "forged", "X-Hop", "chunked", "5000"}) {
         BOOST_TEST(head.find(text) == std::string::npos, text);
     }
 }
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -18,12 +18,13 @@
 constexpr TimeMs callerTimeoutMs = 2'500;
 constexpr TimeMs orderPeriodMs = 900;
 constexpr TimeMs orderTimeoutMs = 1'000;
-constexpr TimeMs readPeriodMs = 300;
+constexpr TimeMs readPeriodMs = 60;
 // A read sent later than this after an acknowledgement returns nothing older.
 constexpr double applyMs = 2'000;
 constexpr TimeMs minFaultMs = 150;
 constexpr TimeMs faultSpreadMs = 700;
 constexpr TimeMs maxDurationMs = 4'000;
+constexpr TimeMs longFaultMs = 3'000; // added to one fault in three
 constexpr TimeMs settleMs = 9'000;
 constexpr TimeMs measureMs = 3'000;
 constexpr TimeMs stopMs = 7'000; // of one node in turn
@@ -63,6 +64,7 @@
     Fleet m_fleet;
     std::map<std::string, std::vector<std::shared_ptr<CallerConnection>>> m_connections; ///< by node
     std::vector<std::string> m_keys{"key-0"};
+    std::vector<std::string> m_withdrawnKeys;
     std::uint64_t m_version = 1;
     std::uint64_t m_base = 0;
     std::uint64_t m_acknowledged = 0;
@@ -129,25 +131,26 @@
     }
     const std::string id = "r" + std::to_string(++m_lastRequest);
     const bool idempotent = m_random.below(5) < 3;
-    const std::string key = m_keys.at(m_random.below(m_keys.size()));
+    // Some callers go on with a key that was withdrawn.
+    const bool withdrawn = !m_withdrawnKeys.empty() && m_random.below(4) == 0;
+    const std::string key = withdrawn ? m_withdrawnKeys.at(m_random.below(m_withdrawnKeys.size())) : m_keys.at(m_random.below(m_keys.size()));
     const std::string body = idempotent ? std::string() : "pay " + id + std::string(m_random.below(2'000), 'p');
     const bool measured = m_measuring && key == "key-0";
     m_asked += measured ? 1 : 0;
     m_ledger.sent(id, {.idempotent = idempotent, .key = key, .callerService = m_fleet.serviceOf(node), .body = body, .service = "front"});
-    connection->send(renderRequest(idempotent ? "GET" : "POST",
-                                   (idempotent ? "/read/" : "/pay/") + id,
-                                   {{"X-Yuccagrade-Request-Id", id},
-                                    {"X-Yuccagrade-Deadline-Ms", std::to_string(callerTimeoutMs)},
-                                    {"Authorization", "Bearer " + key}},
-                                   body),
-                     callerTimeoutMs,
-                     [this, id, measured](const std::optional<HttpMessage> &answer) {
-                         m_ledger.answered(id, answer);
-                         m_whole += measured && answer && answer->status == 200 ? 1 : 0;
-                         if (m_calm && !answer && m_ledger.runsOf(id) > 0) {
-                             m_ledger.violation("planned stop cuts " + id + ", which ran");
-                         }
-                     });
+    connection->send(
+        renderRequest(idempotent ? "GET" : "POST",
+                      (idempotent ? "/read/" : "/pay/") + id,
+                      {{"X-Yuccagrade-Request-Id", id}, {"X-Yuccagrade-Deadline-Ms", std::to_string(callerTimeoutMs)}, {"Authorization", "Bearer " + key}},
+                      body),
+        callerTimeoutMs,
+        [this, id, measured](const std::optional<HttpMessage> &answer) {
+            m_ledger.answered(id, answer);
+            m_whole += measured && answer && answer->status == 200 ? 1 : 0;
+            if (m_calm && !answer && m_ledger.runsOf(id) > 0) {
+                m_ledger.violation("planned stop cuts " + id + ", which ran");
+            }
+        });
 }
 
 std::string SoakRun::document() const
@@ -166,10 +169,10 @@
     }
     char version[9];
     std::snprintf(version, sizeof version, "%08llx", static_cast<unsigned long long>(m_version));
-    return std::string("{\"version\":\"") + version + "\",\"routes\":[" + route("read", "safe", "front", false) + ','
-        + route("pay", "unsafe", "front", false) + ',' + route("deep", "safe", "deep", true) + "],\"services\":[" + service("front") + ',' + service("deep")
-        + R"(],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeoutS":3,"idleTimeoutS":15},)"
-        + R"("tenants":[{"name":"red","apiKeys":[)" + keys + "],\"priority\":1,\"ratePerS\":0,\"burst\":0}]}";
+    return std::string("{\"version\":\"") + version + "\",\"routes\":[" + route("read", "safe", "front", false) + ',' + route("pay", "unsafe", "front", false)
+        + ',' + route("deep", "safe", "deep", true) + "],\"services\":[" + service("front") + ',' + service("deep")
+        + R"(],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeoutS":3,"idleTimeoutS":15},)" + R"("tenants":[{"name":"red","apiKeys":[)"
+        + keys + "],\"priority\":1,\"ratePerS\":0,\"burst\":0}]}";
 }
 
 // An order is sent unchanged, to any control host, until it is acknowledged. Each one adds a key and withdraws the last one.
@@ -216,6 +219,7 @@
                              m_acknowledgedMs[version] = m_loop.clock().preciseMs();
                              if (!m_pendingKey.empty()) {
                                  m_ledger.keyWithdrawn(m_pendingKey);
+                                 m_withdrawnKeys.push_back(m_pendingKey);
                              }
                              m_order.clear();
                          } else if (answer->status >= 400 && answer->status < 500) {
@@ -324,11 +328,12 @@
     m_loop.after(minFaultMs + static_cast<TimeMs>(m_random.below(faultSpreadMs)), [this] {
         fault();
     });
-    const auto durationMs = static_cast<TimeMs>(100 + m_random.below(maxDurationMs));
-    const TimeMs downMs = 100 + durationMs / 3;
+    const auto briefMs = static_cast<TimeMs>(100 + m_random.below(maxDurationMs));
+    const TimeMs durationMs = briefMs + (m_random.below(3) == 0 ? longFaultMs : 0);
+    const TimeMs downMs = 100 + briefMs / 3;
     const TimeMs now = m_loop.clock().now();
     const std::size_t server = m_random.below(m_fleet.servers());
-    switch (m_random.below(9)) {
+    switch (m_random.below(10)) {
     case 0:
         end(randomHost(false), downMs);
         break;
@@ -355,11 +360,13 @@
         }
         break;
     case 4:
-        if (Host &host = m_fleet.hosts().at(m_random.below(m_fleet.hosts().size())); host.process && !host.frozen) {
+        // Half of them are control hosts: a leader that wakes up must not answer as one.
+        if (Host &host = randomHost(m_random.below(2) == 0); host.process && !host.frozen) {
             host.frozen = true;
-            note("freeze " + host.name + " for " + std::to_string(durationMs) + " ms");
+            const TimeMs frozenMs = briefMs + (host.control ? longFaultMs : 0);
+            note("freeze " + host.name + " for " + std::to_string(frozenMs) + " ms");
             host.process->freeze();
-            m_loop.after(durationMs, [&host] {
+            m_loop.after(frozenMs, [&host] {
                 if (host.process && host.frozen) {
                     host.process->resume();
                 }
@@ -391,6 +398,16 @@
             m_fleet.server(server).restartPlanned();
         }
         break;
+    case 8: {
+        const std::string service = m_random.below(2) == 0 ? "front" : "deep";
+        note("servers of " + service + " fail most requests for " + std::to_string(durationMs) + " ms");
+        for (std::size_t i = 0; i < m_fleet.servers(); ++i) {
+            if (m_fleet.server(i).service() == service) {
+                m_fleet.server(i).failMost(durationMs);
+            }
+        }
+        break;
+    }
     default: {
         Test::FaultRule rule;
         rule.dropAnswers = static_cast<int>(m_random.below(4));
--- a/tests/soak/standins.cpp
+++ b/tests/soak/standins.cpp
@@ -16,6 +16,7 @@
 constexpr int slots = 20;
 constexpr std::uint64_t workMs = 25;
 constexpr std::uint64_t declinedOneIn = 50;
+constexpr std::uint64_t failedOneOf = 4; // one request in four succeeds at a failing server
 constexpr std::size_t maxBodyBytes = 3'000;
 
 const std::string &fieldOf(const HttpMessage &message, std::string_view name)
@@ -285,6 +286,11 @@
     });
 }
 
+void Server::failMost(TimeMs durationMs)
+{
+    m_failsUntilMs = m_loop.clock().preciseMs() + static_cast<double>(durationMs);
+}
+
 void Server::announce()
 {
     if (!isRunning()) {
@@ -317,7 +323,8 @@
         return;
     }
     if (id.empty()) { // a health question
-        exchange->respond(responseHead(200, {{"X-Yuccagrade-Instance-Id", m_id}, {"X-Yuccagrade-Server-Load", "0,0," + std::to_string(slots)}}), {});
+        const int status = m_draining ? 503 : 200;
+        exchange->respond(responseHead(status, {{"X-Yuccagrade-Instance-Id", m_id}, {"X-Yuccagrade-Server-Load", "0,0," + std::to_string(slots)}}), {});
         return;
     }
     if (m_drainAckedMs > 0 && m_loop.clock().preciseMs() > m_drainAckedMs + drainBoundMs) {
@@ -330,6 +337,12 @@
     }
     m_ledger.runs(id, message, m_id);
     const auto after = static_cast<TimeMs>(m_random.below(workMs));
+    if (m_loop.clock().preciseMs() < m_failsUntilMs && m_random.below(failedOneOf) > 0) {
+        m_loop.after(after, [this, exchange, id] {
+            answer(exchange, id, 500);
+        });
+        return;
+    }
     if (m_plan.calls.empty()) {
         m_loop.after(after, [this, exchange, id] {
             answer(exchange, id, 200);
@@ -344,16 +357,14 @@
         return;
     }
     m_connections.insert(connection);
-    connection->send(renderRequest("GET",
-                                   m_plan.calls + nested,
-                                   {{"X-Yuccagrade-Request-Id", nested}, {"X-Yuccagrade-Deadline-Ms", std::to_string(nestedTimeoutMs)}},
-                                   {}),
-                     nestedTimeoutMs,
-                     [this, connection, exchange, id, nested](const std::optional<HttpMessage> &reply) {
-                         m_connections.erase(connection);
-                         m_ledger.answered(nested, reply);
-                         answer(exchange, id, reply && reply->status == 200 ? 200 : 500);
-                     });
+    connection->send(
+        renderRequest("GET", m_plan.calls + nested, {{"X-Yuccagrade-Request-Id", nested}, {"X-Yuccagrade-Deadline-Ms", std::to_string(nestedTimeoutMs)}}, {}),
+        nestedTimeoutMs,
+        [this, connection, exchange, id, nested](const std::optional<HttpMessage> &reply) {
+            m_connections.erase(connection);
+            m_ledger.answered(nested, reply);
+            answer(exchange, id, reply && reply->status == 200 ? 200 : 500);
+        });
 }
 
 void Server::answer(const std::shared_ptr<PortExchange> &exchange, const std::string &id, int status)
--- a/tests/soak/standins.h
+++ b/tests/soak/standins.h
@@ -127,10 +127,16 @@
     void crash();
     /// Announces its drain, leaves some time after the acknowledgement and starts again.
     void restartPlanned();
+    /// Runs most requests without success for a while.
+    void failMost(TimeMs durationMs);
     bool isRunning() const
     {
         return m_port != nullptr;
     }
+    const std::string &service() const
+    {
+        return m_plan.service;
+    }
 
 private:
     void handle(const std::shared_ptr<PortExchange> &exchange);
@@ -147,6 +153,7 @@
     std::uint64_t m_sequence = 0;
     TimeMs m_startedAt = 0;
     double m_drainAckedMs = 0;
+    double m_failsUntilMs = 0;
     bool m_draining = false;
     std::uint64_t m_nested = 0;
     std::uint64_t m_incarnation = 0;
