Requests of a short service are refused together with the next higher priority of its callers

At level 2 to 2.4 all switch-history requests (one call of history each) were refused before any heater-activate (eight calls each). At a shortage of its own slots a service's requests now count one priority higher, so both are refused in the same part. Tests: decisions of AdmissionLevel and LevelController at an own shortage.

--- a/packages/mesh/messages.cpp
+++ b/packages/mesh/messages.cpp
@@ -77,7 +77,7 @@
 }
 auto fields(Is<ServiceLevel> auto &m)
 {
-    return std::tie(m.service, m.level);
+    return std::tie(m.service, m.level, m.ownSlots);
 }
 auto fields(Is<SyncMessage> auto &m)
 {
--- a/packages/mesh/messages.h
+++ b/packages/mesh/messages.h
@@ -134,6 +134,7 @@
 struct ServiceLevel {
     std::string service;
     double level = 0;
+    bool ownSlots = false; ///< the shortage is that of the service itself, not of one that it calls
 };
 
 /// Report of a process to the leading control host.
--- a/packages/meshcontrol/levelcontroller.cpp
+++ b/packages/meshcontrol/levelcontroller.cpp
@@ -59,7 +59,8 @@
     m_levels.clear();
     for (const auto &[service, need] : needs) {
         std::set<std::string> seen;
-        m_levels.push_back({service, worstLevel(service, seen)});
+        const double level = worstLevel(service, seen);
+        m_levels.push_back({service, level, m_own[service] >= level});
     }
 }
 
--- a/packages/meshnode/admissionlevel.cpp
+++ b/packages/meshnode/admissionlevel.cpp
@@ -21,13 +21,17 @@
 {
     m_levels.clear();
     for (const ServiceLevel &level : levels) {
-        m_levels[level.service] = level.level;
+        m_levels[level.service] = level;
     }
     m_updatedMs = nowMs;
 }
 
+// A request of the short service itself needs one call of it, where the others make a chain of calls: refusing it frees
+// little. It is refused together with the next higher priority.
 bool AdmissionLevel::admits(const std::string &service, int priority, double nowMs)
 {
+    const auto found = m_levels.find(service);
+    priority -= found != m_levels.end() && found->second.ownSlots ? 1 : 0;
     const double refused = level(service, nowMs) - (lowestPriority - std::clamp(priority, 0, lowestPriority));
     return refused <= 0 || m_random.fraction() >= refused;
 }
@@ -35,6 +39,6 @@
 double AdmissionLevel::level(const std::string &service, double nowMs) const
 {
     const auto found = m_levels.find(service);
-    return found == m_levels.end() || nowMs - m_updatedMs > levelValidMs ? 0 : found->second;
+    return found == m_levels.end() || nowMs - m_updatedMs > levelValidMs ? 0 : found->second.level;
 }
 }
--- a/packages/meshnode/admissionlevel.h
+++ b/packages/meshnode/admissionlevel.h
@@ -26,7 +26,7 @@
 
 private:
     Random m_random;
-    std::map<std::string, double> m_levels;
+    std::map<std::string, ServiceLevel> m_levels;
     double m_updatedMs = 0;
 };
 }
--- a/tests/meshcontrol/meshcontroltest.cpp
+++ b/tests/meshcontrol/meshcontroltest.cpp
@@ -191,6 +191,9 @@
     BOOST_TEST(levelOf(controller, "deep", now) > 0.5);
     BOOST_TEST(levelOf(controller, "entry", now) == levelOf(controller, "deep", now));
     BOOST_TEST(levelOf(controller, "aside", now) == 0);
+    for (const ServiceLevel &level : controller.levels(now)) {
+        BOOST_TEST((level.level == 0 || level.ownSlots == (level.service == "deep")));
+    }
     play(1, 8'000);
     BOOST_TEST(levelOf(controller, "entry", now) == 0);
 }
--- a/tests/meshnode/decisiontest.cpp
+++ b/tests/meshnode/decisiontest.cpp
@@ -228,6 +228,14 @@
         BOOST_TEST(admission.admits("stock", 0, 100));
         BOOST_TEST(admission.admits("orders", 2, 100));
     }
+    // At its own shortage, requests of the service are refused together with the next higher priority of its callers.
+    admission.setLevels({{"stock", 2.0, true}, {"orders", 2.0, false}}, 0);
+    for (int i = 0; i < 100; ++i) {
+        BOOST_TEST(!admission.admits("stock", 2, 100));
+        BOOST_TEST(admission.admits("stock", 1, 100));
+        BOOST_TEST(!admission.admits("orders", 1, 100));
+        BOOST_TEST(admission.admits("orders", 0, 100));
+    }
     // A leader that is gone must not keep the entry closed.
     BOOST_TEST(admission.admits("stock", 2, 10'000));
 }
--- a/tests/platform/platformtest.cpp
+++ b/tests/platform/platformtest.cpp
@@ -149,12 +149,12 @@
     const std::string head = dialect.renderCall(request, {"t1", "s1"}) + dialect.renderHop("9c41", "i-7f", 1234.5);
     BOOST_TEST(head.starts_with("POST /p/x?q=%20 HTTP/1.1\r\n"));
     for (const std::string line : {"X-Yuccagrade-Tenant: t1\r\n",
-                                    "X-Yuccagrade-Caller-Service: s1\r\n",
-                                    "X-Yuccagrade-Target-Instance: i-7f\r\n",
-                                    "X-Yuccagrade-Deadline-Ms: 1234\r\n",
-                                    "Content-Length: 3\r\n",
-                                    "X-Kept: 2\r\n",
-                                    "X-Yuccagrade-Request-Id: 9c41\r\n"}) {
+                                   "X-Yuccagrade-Caller-Service: s1\r\n",
+                                   "X-Yuccagrade-Target-Instance: i-7f\r\n",
+                                   "X-Yuccagrade-Deadline-Ms: 1234\r\n",
+                                   "Content-Length: 3\r\n",
+                                   "X-Kept: 2\r\n",
+                                   "X-Yuccagrade-Request-Id: 9c41\r\n"}) {
         BOOST_TEST(head.find(line) != std::string::npos, line);
     }
     BOOST_TEST(head.find("9c41") == head.rfind("9c41"));
