Soak: a stall of the machine's disk makes the mesh settle again

The soak now probes the disk and judges the recovery only after a settling time without a stall, six tries at most; the last one counts whatever the disk does.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -27,6 +27,8 @@
 constexpr TimeMs longFaultMs = 3'000; // added to one fault in three
 constexpr TimeMs settleMs = 9'000;
 constexpr TimeMs measureMs = 3'000;
+// Without its disk the group cannot commit: after a stall the mesh settles again, up to this number of times.
+constexpr int maxSettles = 6;
 constexpr TimeMs stopMs = 7'000; // of one node in turn
 // All control hosts have been up and connected for this time before another disk is lost: the former one has caught up.
 constexpr TimeMs catchUpMs = 6'000;
@@ -54,7 +56,9 @@
     void cut(TimeMs durationMs);
     void checkProcesses();
     void recover();
+    void settle();
     void measure();
+    void judge();
     void stopInTurn(std::size_t node);
     void begin();
 
@@ -62,6 +66,7 @@
     Ledger m_ledger;
     Random m_random;
     TimeMs m_faultMs;
+    DiskProbe m_disk;
     Fleet m_fleet;
     std::map<std::string, std::vector<std::shared_ptr<CallerConnection>>> m_connections; ///< by node
     std::vector<std::string> m_keys{"key-0"};
@@ -78,6 +83,8 @@
     std::uint64_t m_asked = 0;
     bool m_wiped = false;
     TimeMs m_controlsSoundFrom = 0; ///< end of the last fault at a control host
+    double m_stalledMs = 0; ///< of the disk, when the mesh began to settle
+    int m_settled = 0; ///< times that it settled
     bool m_faults = false;
     bool m_measuring = false;
     bool m_calm = false; ///< only planned stops
@@ -87,6 +94,7 @@
     : m_ledger(m_loop)
     , m_random(seed)
     , m_faultMs(faultMs)
+    , m_disk(folder)
     , m_fleet(m_loop, m_ledger, program, folder, seed)
 {
 }
@@ -482,6 +490,13 @@
             m_fleet.server(i).start();
         }
     }
+    settle();
+}
+
+void SoakRun::settle()
+{
+    ++m_settled;
+    m_stalledMs = m_disk.stalledMs();
     m_loop.after(settleMs, [this] {
         measure();
     });
@@ -489,21 +504,34 @@
 
 void SoakRun::measure()
 {
+    m_whole = 0;
+    m_asked = 0;
     m_measuring = true;
     m_loop.after(measureMs, [this] {
         m_measuring = false;
-        std::cout << "after the faults " << m_whole << " of " << m_asked << " requests are whole; configuration " << m_acknowledged << std::endl;
-        if (m_asked == 0 || static_cast<double>(m_whole) < wantedShare * static_cast<double>(m_asked)) {
-            m_ledger.violation("the mesh has not recovered");
-        }
-        if (m_order.empty() ? m_acknowledged == 0 : m_loop.clock().preciseMs() - m_acknowledgedMs[m_acknowledged] > static_cast<double>(measureMs)) {
-            m_ledger.violation("no order was acknowledged after the faults");
+        const double stalledMs = m_disk.stalledMs() - m_stalledMs;
+        if (stalledMs > 0 && m_settled < maxSettles) {
+            note("the disk of this machine stalled for " + std::to_string(static_cast<int>(stalledMs)) + " ms; the mesh settles again");
+            settle();
+            return;
         }
-        m_calm = true;
-        stopInTurn(0);
+        judge();
     });
 }
 
+void SoakRun::judge()
+{
+    std::cout << "after the faults " << m_whole << " of " << m_asked << " requests are whole; configuration " << m_acknowledged << std::endl;
+    if (m_asked == 0 || static_cast<double>(m_whole) < wantedShare * static_cast<double>(m_asked)) {
+        m_ledger.violation("the mesh has not recovered");
+    }
+    if (m_order.empty() ? m_acknowledged == 0 : m_loop.clock().preciseMs() - m_acknowledgedMs[m_acknowledged] > static_cast<double>(measureMs)) {
+        m_ledger.violation("no order was acknowledged after the faults");
+    }
+    m_calm = true;
+    stopInTurn(0);
+}
+
 void SoakRun::stopInTurn(std::size_t node)
 {
     std::vector<Host *> nodes;
--- a/tests/soak/soakfleet.cpp
+++ b/tests/soak/soakfleet.cpp
@@ -1,10 +1,13 @@
 #include "soakfleet.h"
 
 #include "support/address.h"
+#include "support/wait.h"
 
 #include <cstdlib>
+#include <fcntl.h>
 #include <filesystem>
 #include <fstream>
+#include <unistd.h>
 
 namespace Yuccagrade::Soak
 {
@@ -15,12 +18,58 @@
 constexpr auto peerPort = "7000";
 constexpr auto serverPort = "8000";
 
+// A healthy disk syncs in a few ms; a longer sync is a stall.
+constexpr double stallMs = 200;
+constexpr double probePauseMs = 50;
+
 std::string at(const std::string &ip, const std::string &port)
 {
     return ip + ':' + port;
 }
 }
 
+DiskProbe::DiskProbe(const std::string &folder)
+{
+    std::filesystem::create_directories(folder);
+    m_thread = std::thread([this, path = folder + "/probe"] {
+        run(path);
+    });
+}
+
+DiskProbe::~DiskProbe()
+{
+    m_stop = true;
+    m_thread.join();
+}
+
+void DiskProbe::run(const std::string &path)
+{
+    const int descriptor = ::open(path.c_str(), O_CREAT | O_WRONLY | O_TRUNC | O_CLOEXEC, 0600);
+    while (!m_stop && descriptor >= 0) {
+        const double startedMs = Test::steadyMs();
+        m_startedMs = startedMs;
+        if (::pwrite(descriptor, "x", 1, 0) != 1 || ::fsync(descriptor) != 0) {
+            break;
+        }
+        const double tookMs = Test::steadyMs() - startedMs;
+        m_stalledMs = m_stalledMs + (tookMs > stallMs ? tookMs : 0);
+        m_startedMs = 0;
+        Test::waitFor(
+            [this] {
+                return m_stop.load();
+            },
+            probePauseMs);
+    }
+    ::close(descriptor);
+}
+
+double DiskProbe::stalledMs() const
+{
+    const double startedMs = m_startedMs;
+    const double runningMs = startedMs > 0 ? Test::steadyMs() - startedMs : 0;
+    return m_stalledMs + (runningMs > stallMs ? runningMs : 0);
+}
+
 Fleet::Fleet(EventLoop &loop, Ledger &ledger, const std::string &program, const std::string &folder, std::uint64_t seed)
     : m_loop(loop)
     , m_ledger(ledger)
--- a/tests/soak/soakfleet.h
+++ b/tests/soak/soakfleet.h
@@ -4,8 +4,33 @@
 #include "support/faultproxy.h"
 #include "support/process.h"
 
+#include <atomic>
+#include <thread>
+
 namespace Yuccagrade::Soak
 {
+/// Syncs a file again and again and tells how long the disk of this machine stalled. All control hosts share that disk, and
+/// none of them can commit while it stalls.
+class DiskProbe
+{
+public:
+    explicit DiskProbe(const std::string &folder);
+    ~DiskProbe();
+    DiskProbe(const DiskProbe &) = delete;
+    DiskProbe &operator=(const DiskProbe &) = delete;
+
+    /// Returns the time of all stalls so far, one that goes on included, in ms.
+    double stalledMs() const;
+
+private:
+    void run(const std::string &path);
+
+    std::atomic<bool> m_stop = false;
+    std::atomic<double> m_stalledMs = 0;
+    std::atomic<double> m_startedMs = 0; ///< of the present sync; 0 between syncs
+    std::thread m_thread;
+};
+
 /// One process of the mesh behind the proxy.
 struct Host {
     std::string name;
