--- a/tests/mesh/meshtest.cpp
+++ b/tests/mesh/meshtest.cpp
@@ -213,7 +213,8 @@
     loop.run();
     BOOST_TEST((received == sent));
     // Frames above the limit are sent as they are, the small ones take less than a fifth of their size.
-    BOOST_TEST(sentBack < 4 * 41'000 + (sentBytes - 4 * 40'000) / 5);
+    constexpr std::size_t largeFrames = 4;
+    BOOST_TEST(sentBack < largeFrames * 41'000 + (sentBytes - largeFrames * 40'000) / 5);
 }
 
 // Guards against calls that are counted as sent although the link was never established.
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -125,7 +125,7 @@
     if (!node.process || node.stopping) {
         return nullptr;
     }
-    const auto connection = CallerConnection::open(m_loop, node.callerAddress, m_ledger);
+    auto connection = CallerConnection::open(m_loop, node.callerAddress, m_ledger);
     if (connection) {
         open.push_back(connection);
     }
--- a/tests/soak/standins.cpp
+++ b/tests/soak/standins.cpp
@@ -143,7 +143,7 @@
 {
     std::string text = method + ' ' + target + " HTTP/1.1\r\nHost: a.example\r\n";
     for (const auto &[name, value] : fields) {
-        text += name + ": " + value + "\r\n";
+        text.append(name).append(": ").append(value).append("\r\n");
     }
     if (method != "GET") {
         text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
