Soak: the operator has a file of its own

The operator draws its own random numbers, so a seed brings about another order of faults than before.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -1,6 +1,7 @@
 // Runs a mesh of real processes under random faults and checks what callers, servers and operators see.
 // Usage: soak PROGRAM FOLDER SEED [FAULT_SECONDS]. Exit codes: 0 no promise broken, 1 broken, 2 usage.
 
+#include "operator.h"
 #include "soakfleet.h"
 
 #include <algorithm>
@@ -16,11 +17,6 @@
 constexpr TimeMs startBoundMs = 20'000;
 constexpr TimeMs requestPeriodMs = 6;
 constexpr TimeMs callerTimeoutMs = 2'500;
-constexpr TimeMs orderPeriodMs = 900;
-constexpr TimeMs orderTimeoutMs = 1'000;
-constexpr TimeMs readPeriodMs = 60;
-// A read sent later than this after an acknowledgement returns nothing older.
-constexpr double applyMs = 2'000;
 constexpr TimeMs minFaultMs = 150;
 constexpr TimeMs faultSpreadMs = 700;
 constexpr TimeMs maxDurationMs = 4'000;
@@ -45,10 +41,6 @@
     Host &randomHost(bool control);
     void call();
     std::shared_ptr<CallerConnection> connectionTo(Host &node);
-    std::string document() const;
-    void order();
-    void sendOrder(const std::string &address, int redirects);
-    void read();
     void fault();
     void note(const std::string &what) const;
     void disturbControls(TimeMs durationMs);
@@ -68,16 +60,8 @@
     TimeMs m_faultMs;
     DiskProbe m_disk;
     Fleet m_fleet;
+    Operator m_operator;
     std::map<std::string, std::vector<std::shared_ptr<CallerConnection>>> m_connections; ///< by node
-    std::vector<std::string> m_keys{"key-0"};
-    std::vector<std::string> m_withdrawnKeys;
-    std::uint64_t m_version = 1;
-    std::uint64_t m_base = 0;
-    std::uint64_t m_acknowledged = 0;
-    std::map<std::uint64_t, double> m_acknowledgedMs;
-    std::string m_pendingKey; ///< withdrawn by the order that is on its way
-    std::string m_order; ///< document that is sent until it is acknowledged
-    std::set<std::shared_ptr<CallerConnection>> m_operatorCalls;
     std::uint64_t m_lastRequest = 0;
     std::uint64_t m_whole = 0;
     std::uint64_t m_asked = 0;
@@ -96,6 +80,7 @@
     , m_faultMs(faultMs)
     , m_disk(folder)
     , m_fleet(m_loop, m_ledger, program, folder, seed)
+    , m_operator(m_loop, m_ledger, m_fleet, Random(seed + 1))
 {
 }
 
@@ -142,8 +127,8 @@
     const std::string id = "r" + std::to_string(++m_lastRequest);
     const bool idempotent = m_random.below(5) < 3;
     // Some callers go on with a key that was withdrawn.
-    const bool withdrawn = !m_withdrawnKeys.empty() && m_random.below(4) == 0;
-    const std::string key = withdrawn ? m_withdrawnKeys.at(m_random.below(m_withdrawnKeys.size())) : m_keys.at(m_random.below(m_keys.size()));
+    const std::vector<std::string> &keys = m_random.below(4) == 0 && !m_operator.withdrawnKeys().empty() ? m_operator.withdrawnKeys() : m_operator.keys();
+    const std::string key = keys.at(m_random.below(keys.size()));
     const std::string body = idempotent ? std::string() : "pay " + id + std::string(m_random.below(2'000), 'p');
     const bool measured = m_measuring && key == "key-0";
     m_asked += measured ? 1 : 0;
@@ -163,107 +148,6 @@
         });
 }
 
-std::string SoakRun::document() const
-{
-    const auto route = [](const std::string &name, const std::string &kind, const std::string &service, bool open) {
-        return "{\"name\":\"" + name + "\",\"host\":\"a.example\",\"pathPrefix\":\"/" + name + "/\",\"routeType\":\"" + kind
-            + "\",\"timeoutS\":2,\"targetLatencyS\":0.5,\"priority\":1,\"maxAttempts\":2,\"public\":" + (open ? "true" : "false") + ",\"service\":\"" + service
-            + "\"}";
-    };
-    const auto service = [](const std::string &name) {
-        return "{\"name\":\"" + name + R"(","healthCheck":"/healthz","maxConnections":200,"protocol":"h1","tls":false})";
-    };
-    std::string keys;
-    for (const std::string &key : m_keys) {
-        keys += (keys.empty() ? "\"" : ",\"") + key + '"';
-    }
-    char version[9];
-    std::snprintf(version, sizeof version, "%08llx", static_cast<unsigned long long>(m_version));
-    return std::string("{\"version\":\"") + version + "\",\"routes\":[" + route("read", "safe", "front", false) + ',' + route("pay", "unsafe", "front", false)
-        + ',' + route("deep", "safe", "deep", true) + "],\"services\":[" + service("front") + ',' + service("deep")
-        + R"(],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeoutS":3,"idleTimeoutS":15},)" + R"("tenants":[{"name":"red","apiKeys":[)"
-        + keys + "],\"priority\":1,\"ratePerS\":0,\"burst\":0}]}";
-}
-
-// An order is sent unchanged, to any control host, until it is acknowledged. Each one adds a key and withdraws the last one.
-void SoakRun::order()
-{
-    if (m_order.empty()) {
-        m_version += 1 + m_random.below(3);
-        const std::string added = "key-" + std::to_string(m_version);
-        m_pendingKey = m_keys.size() > 1 ? m_keys.back() : std::string();
-        m_keys = {"key-0", added};
-        m_order = document();
-    }
-    sendOrder(randomHost(true).operatorAddress, 2);
-}
-
-void SoakRun::sendOrder(const std::string &address, int redirects)
-{
-    const auto connection = CallerConnection::open(m_loop, address, m_ledger);
-    if (!connection) {
-        return;
-    }
-    m_operatorCalls.insert(connection);
-    char base[9];
-    std::snprintf(base, sizeof base, "%08llx", static_cast<unsigned long long>(m_base));
-    connection->send(renderRequest("POST", "/Config.Put", {{"X-Yuccagrade-Base-Version", m_base == 0 ? "0" : base}}, m_order),
-                     orderTimeoutMs,
-                     [this, connection, redirects, version = m_version](const std::optional<HttpMessage> &answer) {
-                         m_operatorCalls.erase(connection);
-                         if (!answer || version != m_version || m_order.empty()) {
-                             return;
-                         }
-                         const std::string *location = answer->field("Location");
-                         if (answer->status == 307 && location && redirects > 0) {
-                             const std::string rest = location->substr(std::string("http://").size());
-                             // The operators' address of the leader is not behind the proxy.
-                             for (const Host &host : m_fleet.hosts()) {
-                                 if (host.control && rest.starts_with(host.ip + ':')) {
-                                     sendOrder(host.operatorAddress, redirects - 1);
-                                 }
-                             }
-                         } else if (answer->status == 200) {
-                             m_base = version;
-                             m_acknowledged = version;
-                             m_acknowledgedMs[version] = m_loop.clock().preciseMs();
-                             if (!m_pendingKey.empty()) {
-                                 m_ledger.keyWithdrawn(m_pendingKey);
-                                 m_withdrawnKeys.push_back(m_pendingKey);
-                             }
-                             m_order.clear();
-                         } else if (answer->status >= 400 && answer->status < 500) {
-                             m_ledger.violation("order " + std::to_string(version) + " is refused with " + std::to_string(answer->status));
-                         }
-                     });
-}
-
-void SoakRun::read()
-{
-    Host &host = randomHost(true);
-    const auto connection = CallerConnection::open(m_loop, host.operatorAddress, m_ledger);
-    if (!connection) {
-        return;
-    }
-    m_operatorCalls.insert(connection);
-    std::uint64_t expected = 0;
-    for (const auto &[version, acknowledgedMs] : m_acknowledgedMs) {
-        if (acknowledgedMs + applyMs < m_loop.clock().preciseMs()) {
-            expected = version;
-        }
-    }
-    connection->send(renderRequest("GET", "/Config.Get", {}, {}), orderTimeoutMs, [this, connection, expected, name = host.name](const auto &answer) {
-        m_operatorCalls.erase(connection);
-        if (!answer || answer->status != 200) {
-            return;
-        }
-        const std::uint64_t version = std::stoull(answer->body.substr(std::string("{\"version\":\"").size(), 8), nullptr, 16);
-        if (version < expected) {
-            m_ledger.violation(name + " returns version " + std::to_string(version) + " after " + std::to_string(expected) + " was acknowledged");
-        }
-    });
-}
-
 void SoakRun::disturbControls(TimeMs durationMs)
 {
     m_controlsSoundFrom = std::max(m_controlsSoundFrom, m_loop.clock().now() + durationMs);
@@ -521,11 +405,11 @@
 
 void SoakRun::judge()
 {
-    std::cout << "after the faults " << m_whole << " of " << m_asked << " requests are whole; configuration " << m_acknowledged << std::endl;
+    std::cout << "after the faults " << m_whole << " of " << m_asked << " requests are whole; configuration " << m_operator.acknowledged() << std::endl;
     if (m_asked == 0 || static_cast<double>(m_whole) < wantedShare * static_cast<double>(m_asked)) {
         m_ledger.violation("the mesh has not recovered");
     }
-    if (m_order.empty() ? m_acknowledged == 0 : m_loop.clock().preciseMs() - m_acknowledgedMs[m_acknowledged] > static_cast<double>(measureMs)) {
+    if (!m_operator.isServed(static_cast<double>(measureMs))) {
         m_ledger.violation("no order was acknowledged after the faults");
     }
     m_calm = true;
@@ -557,12 +441,7 @@
     m_loop.every(requestPeriodMs, [this] {
         call();
     });
-    m_loop.every(orderPeriodMs, [this] {
-        order();
-    });
-    m_loop.every(readPeriodMs, [this] {
-        read();
-    });
+    m_operator.start();
     m_loop.every(200, [this] {
         checkProcesses();
     });
