timeline follows nested calls, reads collected logs and standard input

One search for the id of a failed request now shows the whole tree of its calls; before, the calls below had to be searched by their prefix. A prefix of a log collector before the object of a line is skipped, so that the joined output of all processes can be read as it is, and whole lines without the id are not parsed.

--- a/apps/yuccagrade/commandline.cpp
+++ b/apps/yuccagrade/commandline.cpp
@@ -21,7 +21,7 @@
     {"key withdraw", "KEYID", 1, 1, ControlOptions | SubmissionOptions | WaitOptions, "Withdraws a key and waits until it works nowhere.", runKeyWithdraw},
     {"status", "", 0, 0, ControlOptions, "Shows leader, processes and what is in force.", runStatus},
     {"drain", "ADDRESS", 1, 1, SecretOptions, "Drains the process with this operator-address.", runDrain},
-    {"timeline", "FILE...", 1, 100'000, FilterOptions, "Merges event files of many processes into one order.", runTimeline},
+    {"timeline", "FILE...", 1, 100'000, FilterOptions, "Merges event files of many processes into one order; - is standard input.", runTimeline},
 }};
 
 po::options_description visibleOptions(const Subcommand &subcommand)
@@ -43,7 +43,7 @@
         options.add_options()("wait-s", po::value<unsigned>()->default_value(30), "time until it must be in force everywhere; 0 does not wait");
     }
     if (subcommand.options & FilterOptions) {
-        options.add_options()("request", po::value<std::string>(), "only this request id");
+        options.add_options()("request", po::value<std::string>(), "only this request and its nested calls");
         options.add_options()("team", po::value<std::string>(), "only this team");
         options.add_options()("key", po::value<std::string>(), "only this key id");
         options.add_options()("version", po::value<std::string>(), "only this manifest version");
--- a/apps/yuccagrade/environment.h
+++ b/apps/yuccagrade/environment.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 
 #include <functional>
+#include <istream>
 #include <ostream>
 #include <string>
 
@@ -41,6 +42,7 @@
     Exchange exchange;
     std::function<TimeMs()> now;
     std::function<void(TimeMs)> pause;
+    std::istream &in;
     std::ostream &out;
     std::ostream &err;
 };
--- a/apps/yuccagrade/invocation.cpp
+++ b/apps/yuccagrade/invocation.cpp
@@ -91,6 +91,9 @@
 
 std::optional<std::string> Invocation::readFile(const std::string &path) const
 {
+    if (path == "-") {
+        return std::string(std::istreambuf_iterator<char>(m_environment.in), {});
+    }
     std::ifstream file(path, std::ios::binary);
     if (!file) {
         fail(ExitCode::HasFindings, "cannot read '" + path + "'");
--- a/apps/yuccagrade/timeline.cpp
+++ b/apps/yuccagrade/timeline.cpp
@@ -59,9 +59,11 @@
     const auto accepts = [](const std::string &wanted, const std::string &value) {
         return wanted.empty() || wanted == value;
     };
-    return accepts(request, field(candidate, "request")) && accepts(team, field(candidate, "team")) && accepts(key, field(candidate, "key"))
-        && accepts(version, field(candidate, "version")) && accepts(process, candidate.process)
-        && (accepts(event, candidate.name) || event == std::to_string(candidate.event));
+    const std::string id = field(candidate, "request");
+    // Ids of nested calls begin with the id of the call that made them.
+    const bool ofRequest = accepts(request, id) || id.starts_with(request + '.');
+    return ofRequest && accepts(team, field(candidate, "team")) && accepts(key, field(candidate, "key")) && accepts(version, field(candidate, "version"))
+        && accepts(process, candidate.process) && (accepts(event, candidate.name) || event == std::to_string(candidate.event));
 }
 
 Timeline::Timeline(TimelineFilter filter)
@@ -76,12 +78,17 @@
         const std::size_t end = std::min(text.find('\n', start), text.size());
         ++line;
         TimelineEvent event;
-        if (!parseTimelineEvent(std::string(text.substr(start, end - start)), event)) {
+        const std::string_view content = text.substr(start, end - start);
+        start = end + 1;
+        // Parsing costs far more than this search; a line that is cut off still becomes a finding.
+        if (!m_filter.request.empty() && content.ends_with('}') && content.find(m_filter.request) == std::string_view::npos) {
+            continue;
+        }
+        if (!parseTimelineEvent(std::string(content.substr(std::min(content.find('{'), content.size()))), event)) {
             findings.push_back({file, line, "not an event; the line is left out"});
         } else if (m_filter.matches(event)) {
             m_events.push_back(std::move(event));
         }
-        start = end + 1;
     }
 }
 
--- a/apps/yuccagrade/timeline.h
+++ b/apps/yuccagrade/timeline.h
@@ -25,7 +25,7 @@
 
 /// What to show; an empty text matches everything.
 struct TimelineFilter {
-    std::string request;
+    std::string request; ///< also matches the nested calls of the request
     std::string team;
     std::string key; ///< key id
     std::string version;
@@ -40,7 +40,9 @@
 {
 public:
     explicit Timeline(TimelineFilter filter);
-    /// Adds the matching events of one file. Malformed lines become findings and are left out.
+    /// Adds the matching events of one file. What a log collector put before the object of a line is skipped. Malformed lines
+    /// become findings and are left out; whole lines without the wanted request id are not
+    /// examined.
     void add(std::string_view text, const std::string &file, Findings &findings);
     /// Returns the events in order.
     std::vector<TimelineEvent> merged() const;
--- a/tests/cli/clitest.cpp
+++ b/tests/cli/clitest.cpp
@@ -114,6 +114,7 @@
 
 struct Fixture {
     Group group;
+    std::istringstream in;
     std::ostringstream out;
     std::ostringstream err;
 
@@ -139,7 +140,7 @@
         const auto pause = [this](TimeMs durationMs) {
             group.nowMs += durationMs;
         };
-        return runCommandLine(arguments, {std::ref(group), now, pause, out, err});
+        return runCommandLine(arguments, {std::ref(group), now, pause, in, out, err});
     }
 
     ExitCode runRemote(std::vector<std::string> arguments)
@@ -306,6 +307,34 @@
     BOOST_TEST(events[1].process == "n2");
 }
 
+// Guards against a search that misses the nested calls of a request or takes other requests for them, and against lines
+// that are left out because a log collector put a time and a host before them.
+BOOST_AUTO_TEST_CASE(timelineFollowsNestedCallsInCollectedLogs)
+{
+    Timeline timeline({.request = "r1", .team = {}, .key = {}, .version = {}, .event = {}, .process = {}});
+    Findings findings;
+    timeline.add(
+        "  12.3456 host-7 {\"time\":\"5.0\",\"process\":\"n2\",\"event\":718,\"name\":\"call-refused-at-upstream\",\"request\":\"r1.a.b\"}\n"
+        "  12.3457 host-7 {\"time\":\"6.0\",\"process\":\"n2\",\"event\":713,\"name\":\"call-served\",\"request\":\"r10\"}\n"
+        "  12.3458 host-8 {\"time\":\"4.0\",\"process\":\"n1\",\"event\":710,\"name\":\"upstream-unavailable\",\"request\":\"r1\"}\n"
+        "  12.3459 host-8 {\"time\":\"7.0\",\"process\":\"n1\",\"event\":405,\"name\":\"upstream-announced\",\"upstream\":\"r1\"}\n",
+        "all.log",
+        findings);
+    BOOST_TEST(findings.empty());
+    const auto events = timeline.merged();
+    BOOST_REQUIRE_EQUAL(events.size(), 2U);
+    BOOST_TEST(events[0].text() == "1970-01-01T00:00:00.004Z+0 n1 [710] upstream-unavailable request=r1");
+    BOOST_TEST(events[1].text() == "1970-01-01T00:00:00.005Z+0 n2 [718] call-refused-at-upstream request=r1.a.b");
+}
+
+// Guards against a time line that cannot be fed by the output of other programs.
+BOOST_FIXTURE_TEST_CASE(timelineReadsStandardInput, Fixture)
+{
+    in.str("{\"time\":\"5.0\",\"process\":\"n2\",\"event\":713,\"name\":\"call-served\",\"request\":\"r1\"}\n");
+    BOOST_TEST((run({"timeline", "-"}) == ExitCode::Success));
+    BOOST_TEST(contains(out, "[713] call-served request=r1"));
+}
+
 // Guards against lost or reordered events for any split of a sequence over files, whatever the order of the files.
 BOOST_AUTO_TEST_CASE(timelineKeepsAllEvents, *utf::label("property"))
 {
