Admission levels: delayed effect, queued calls, and levels taken over by a new leader

Ruled out: levels of a control host that does not lead, which nodes ignore.

Calls that queue beyond the slots count as excess, what recent changes of the level will take off is subtracted from it, and nodes report the level they hold, which a new leader takes over in its first second. Each cause has a test that failed before.

--- a/packages/mesh/messages.cpp
+++ b/packages/mesh/messages.cpp
@@ -77,7 +77,7 @@
 }
 auto fields(Is<ServiceLevel> auto &m)
 {
-    return std::tie(m.service, m.level, m.ownSlots);
+    return std::tie(m.service, m.level, m.own);
 }
 auto fields(Is<SyncMessage> auto &m)
 {
@@ -93,7 +93,8 @@
                     m.demand,
                     m.service,
                     m.load,
-                    m.calledServices);
+                    m.calledServices,
+                    m.ownLevel);
 }
 auto fields(Is<SyncReplyMessage> auto &m)
 {
--- a/packages/mesh/messages.h
+++ b/packages/mesh/messages.h
@@ -134,7 +134,13 @@
 struct ServiceLevel {
     std::string service;
     double level = 0;
-    bool ownSlots = false; ///< the shortage is that of the service itself, not of one that it calls
+    double own = 0; ///< level by the need of the service's own slots, without those of the services that it calls
+
+    /// Returns whether the shortage is that of the service itself.
+    bool isOwn() const
+    {
+        return own >= level;
+    }
 };
 
 /// Report of a process to the leading control host.
@@ -152,6 +158,7 @@
     std::string service; ///< of the upstream on this host
     LoadReport load; ///< of that upstream
     std::vector<std::string> calledServices; ///< that the upstream called lately
+    double ownLevel = 0; ///< ServiceLevel::own of the service as last heard
 };
 
 struct SyncReplyMessage {
--- a/packages/meshcontrol/levelcontroller.h
+++ b/packages/meshcontrol/levelcontroller.h
@@ -14,7 +14,7 @@
 class LevelController
 {
 public:
-    /// Takes the report of a node.
+    /// Takes the report of a node. The first reports carry the levels of the leader before, which are taken over.
     void report(const SyncMessage &message, TimeMs now);
     /// Returns the levels of all services, those that they call included.
     std::vector<ServiceLevel> levels(TimeMs now);
@@ -31,8 +31,10 @@
 
     std::map<std::string, Node> m_nodes; ///< by peer address
     std::map<std::string, double> m_own; ///< level of each service by the need of its own slots
+    std::map<std::string, double> m_inEffect; ///< part of m_own that the measured need shows by now
     std::map<std::string, std::set<std::string>> m_calls;
     std::vector<ServiceLevel> m_levels;
     TimeMs m_updatedAt = 0;
+    TimeMs m_firstReportAt = 0;
 };
 }
--- a/packages/meshnode/admissionlevel.cpp
+++ b/packages/meshnode/admissionlevel.cpp
@@ -31,7 +31,7 @@
 bool AdmissionLevel::admits(const std::string &service, int priority, double nowMs)
 {
     const auto found = m_levels.find(service);
-    priority -= found != m_levels.end() && found->second.ownSlots ? 1 : 0;
+    priority -= found != m_levels.end() && found->second.isOwn() ? 1 : 0;
     const double refused = level(service, nowMs) - (lowestPriority - std::clamp(priority, 0, lowestPriority));
     return refused <= 0 || m_random.fraction() >= refused;
 }
@@ -41,4 +41,10 @@
     const auto found = m_levels.find(service);
     return found == m_levels.end() || nowMs - m_updatedMs > levelValidMs ? 0 : found->second.level;
 }
+
+double AdmissionLevel::ownLevel(const std::string &service, double nowMs) const
+{
+    const auto found = m_levels.find(service);
+    return found == m_levels.end() || nowMs - m_updatedMs > levelValidMs ? 0 : found->second.own;
+}
 }
--- a/packages/meshnode/admissionlevel.h
+++ b/packages/meshnode/admissionlevel.h
@@ -23,6 +23,8 @@
     bool admits(const std::string &service, int priority, double nowMs);
     /// Present level of @p service; 0 once the leader was silent for a while.
     double level(const std::string &service, double nowMs) const;
+    /// Present level by the need of the slots of @p service alone; 0 once the leader was silent for a while.
+    double ownLevel(const std::string &service, double nowMs) const;
 
 private:
     Random m_random;
--- a/packages/meshnode/callbroker.h
+++ b/packages/meshnode/callbroker.h
@@ -66,6 +66,11 @@
     {
         m_admission.setLevels(levels, now());
     }
+    /// Level by the need of the own slots of the service of this host.
+    double ownLevel() const
+    {
+        return m_admission.ownLevel(m_identity.service, now());
+    }
     /// Services that the upstream of this host called lately while it served other calls.
     std::vector<std::string> calledServices() const;
     bool makesNestedCalls() const
--- a/packages/meshnode/meshnode.cpp
+++ b/packages/meshnode/meshnode.cpp
@@ -281,6 +281,7 @@
     m_upstreams.measureDemand();
     message.load = m_upstreams.load();
     message.calledServices = m_broker.calledServices();
+    message.ownLevel = m_broker.ownLevel();
     message.demand = m_broker.teamMeter().demand(m_loop.clock().preciseMs());
     return message;
 }
--- a/tests/meshcontrol/meshcontroltest.cpp
+++ b/tests/meshcontrol/meshcontroltest.cpp
@@ -192,8 +192,73 @@
     BOOST_TEST(levelOf(controller, "entry", now) == levelOf(controller, "deep", now));
     BOOST_TEST(levelOf(controller, "aside", now) == 0);
     for (const ServiceLevel &level : controller.levels(now)) {
-        BOOST_TEST((level.level == 0 || level.ownSlots == (level.service == "deep")));
+        BOOST_TEST((level.level == 0 || level.isOwn() == (level.service == "deep")));
     }
     play(1, 8'000);
     BOOST_TEST(levelOf(controller, "entry", now) == 0);
 }
+
+// Guards against an entry that stays open while nested calls queue: callers that wait for a slot make no further calls, so
+// that the measured need never rises far above the slots.
+BOOST_AUTO_TEST_CASE(queuedCallsCloseTheEntry)
+{
+    LevelController controller;
+    SyncMessage full = loadReport("c", "deep", 9.5, {});
+    full.load.busy = 3 * full.load.limit;
+    for (TimeMs now = 1'000; now <= 2'500; now += 100) {
+        controller.report(loadReport("a", "entry", 2, {"deep"}), now);
+        controller.report(full, now);
+        controller.levels(now);
+    }
+    BOOST_TEST(levelOf(controller, "entry", 2'500) > 0.5);
+}
+
+// Guards against a level that swings between open and closed, since its effect on the need shows only later.
+BOOST_AUTO_TEST_CASE(levelSettlesAlthoughItsEffectIsDelayed)
+{
+    LevelController controller;
+    constexpr std::size_t delaySteps = 8; // of 100 ms
+    std::vector<double> levels(delaySteps, 0.0);
+    double need = 0;
+    double lowest = 10;
+    double highest = 0;
+    for (TimeMs now = 1'000; now <= 21'000; now += 100) {
+        // Requests of the lowest priority need six tenths of a load of 1.6 times the slots.
+        const double offered = 16 * (1 - 0.6 * std::min(1.0, levels[levels.size() - delaySteps]));
+        need += (offered - need) * 0.2;
+        controller.report(loadReport("c", "deep", need, {}), now);
+        levels.push_back(levelOf(controller, "deep", now));
+        if (now > 11'000) {
+            lowest = std::min(lowest, levels.back());
+            highest = std::max(highest, levels.back());
+        }
+    }
+    BOOST_TEST(highest - lowest < 0.2);
+    BOOST_TEST(lowest > 0.5);
+    BOOST_TEST(highest < 1.0);
+}
+
+// Guards against a new leader that opens all entries in the middle of a shortage and has to find the levels again.
+BOOST_AUTO_TEST_CASE(newLeaderTakesLevelsOverFromNodes)
+{
+    LevelController controller;
+    SyncMessage restarted = loadReport("c", "deep", 9.5, {});
+    SyncMessage shortOfSlots = loadReport("d", "deep", 9.5, {});
+    shortOfSlots.ownLevel = 0.8;
+    controller.report(loadReport("a", "entry", 2, {"deep"}), 1'000);
+    controller.report(restarted, 1'000);
+    controller.report(shortOfSlots, 1'000);
+    BOOST_TEST(levelOf(controller, "entry", 1'000) > 0.7);
+    // Later the leader's own figure counts: the nodes only repeat it.
+    const auto play = [&](TimeMs from, TimeMs until) {
+        for (TimeMs now = from; now <= until; now += 100) {
+            controller.report(loadReport("a", "entry", 2, {"deep"}), now);
+            SyncMessage idle = loadReport("d", "deep", 1, {});
+            idle.ownLevel = 0.8;
+            controller.report(idle, now);
+            controller.levels(now);
+        }
+    };
+    play(1'100, 5'000);
+    BOOST_TEST(levelOf(controller, "entry", 5'000) == 0);
+}
--- a/tests/meshnode/decisiontest.cpp
+++ b/tests/meshnode/decisiontest.cpp
@@ -229,7 +229,7 @@
         BOOST_TEST(admission.admits("orders", 2, 100));
     }
     // At its own shortage, requests of the service are refused together with the next higher priority of its callers.
-    admission.setLevels({{"stock", 2.0, true}, {"orders", 2.0, false}}, 0);
+    admission.setLevels({{"stock", 2.0, 2.0}, {"orders", 2.0, 0.0}}, 0);
     for (int i = 0; i < 100; ++i) {
         BOOST_TEST(!admission.admits("stock", 2, 100));
         BOOST_TEST(admission.admits("stock", 1, 100));
