Log failed answers of upstreams, and the age of the inputs of each decision

Such answers are event 719 now, and the last line of a request carries the age of the configuration and of the level, the time left of the proof and the time to come back.

--- a/packages/base/eventlog.cpp
+++ b/packages/base/eventlog.cpp
@@ -100,6 +100,7 @@
     {Event::RequestTooLarge, Info, "request-too-large", "The request exceeds a size limit."},
     {Event::CallRepeated, Info, "call-repeated", "A call is offered to another upstream."},
     {Event::CallRefusedAtUpstream, Info, "call-refused-at-upstream", "The node beside the upstream refused a call before any byte was sent."},
+    {Event::UpstreamFailed, Info, "upstream-failed", "The upstream answered with a failure, which the caller got."},
 };
 
 log4cplus::LogLevel logLevel(Severity severity)
--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -78,6 +78,7 @@
     RequestTooLarge = 716,
     CallRepeated = 717,
     CallRefusedAtUpstream = 718,
+    UpstreamFailed = 719,
 };
 
 /// Severity of an event.
--- a/packages/meshnode/admissionlevel.h
+++ b/packages/meshnode/admissionlevel.h
@@ -23,6 +23,11 @@
     bool admits(const std::string &service, int priority, double nowMs);
     /// Present level of @p service; 0 once the leader was silent for a while.
     double level(const std::string &service, double nowMs) const;
+    /// Time since the leader's levels came.
+    double ageMs(double nowMs) const
+    {
+        return nowMs - m_updatedMs;
+    }
     /// Present level by the need of the slots of @p service alone; 0 once the leader was silent for a while.
     double ownLevel(const std::string &service, double nowMs) const;
 
--- a/packages/meshnode/callbroker.cpp
+++ b/packages/meshnode/callbroker.cpp
@@ -62,6 +62,7 @@
 void CallBroker::setConfig(std::shared_ptr<const FleetConfig> config)
 {
     m_config = std::move(config);
+    m_configAtMs = now();
 }
 
 void CallBroker::handle(const std::shared_ptr<PortExchange> &exchange)
@@ -499,7 +500,7 @@
     m_loop.cancel(call->timer);
     m_calls.erase(call->id);
     m_metrics.count("calls_cancelled_total");
-    logEnd(*call, Event::CallCancelled, 0, "caller left");
+    logEnd(*call, Event::CallCancelled, 0, -1, "caller left");
 }
 
 void CallBroker::cancelAttempt(const Call &call)
@@ -521,7 +522,7 @@
     const double took = now() - call->arrivedMs;
     m_metrics.count("calls_answered_total", "route=\"" + call->route->name + "\",class=\"" + std::to_string(reply.status / 100) + "xx\"");
     m_metrics.sample("call_ms", took, "service=\"" + call->service + '"');
-    logEnd(*call, Event::CallServed, reply.status, "upstream answered");
+    logEnd(*call, reply.status < firstServerError ? Event::CallServed : Event::UpstreamFailed, reply.status, -1, "upstream answered");
     call->exchange->respond(reply.head + m_dialect.renderRequestId(call->requestId), std::move(reply.body));
 }
 
@@ -535,11 +536,11 @@
     m_loop.cancel(call.timer);
     m_calls.erase(call.id);
     m_metrics.count("calls_refused_total", "status=\"" + std::to_string(status) + "\",reason=\"" + reason + '"');
-    logEnd(call, event, status, reason);
+    logEnd(call, event, status, retryAfterMs, reason);
     call.exchange->respond(m_dialect.renderRefusal(call.requestId, status, retryAfterMs), {});
 }
 
-void CallBroker::logEnd(const Call &call, Event event, int status, const std::string &reason)
+void CallBroker::logEnd(const Call &call, Event event, int status, double retryAfterMs, const std::string &reason)
 {
     if (!m_log.isWritten(event)) {
         return;
@@ -556,7 +557,11 @@
                  {"refusals", std::to_string(call.refusals)},
                  {"took_ms", std::to_string(static_cast<int>(at - call.arrivedMs))},
                  {"config", call.config ? std::to_string(call.config->version) : std::string()},
+                 {"config_ms_ago", std::to_string(static_cast<int>(at - m_configAtMs))},
                  {"level", std::to_string(m_admission.level(call.service, at))},
+                 {"level_ms_ago", std::to_string(static_cast<int>(m_admission.ageMs(at)))},
+                 {"proof_left_ms", std::to_string(m_proofUntil - m_loop.clock().now())},
+                 {"retry_after_ms", std::to_string(static_cast<int>(retryAfterMs))},
                  {"status", std::to_string(status)},
                  {"reason", reason}});
 }
--- a/packages/meshnode/callbroker.h
+++ b/packages/meshnode/callbroker.h
@@ -153,7 +153,8 @@
     void answer(const CallPtr &call, ReplyMessage reply);
     void refuse(Call &call, int status, double retryAfterMs, Event event, const std::string &reason);
     void release(const CallPtr &call);
-    void logEnd(const Call &call, Event event, int status, const std::string &reason);
+    /// @p retryAfterMs is what the caller was told; negative if nothing.
+    void logEnd(const Call &call, Event event, int status, double retryAfterMs, const std::string &reason);
     double retryAfterMs();
     double now() const
     {
@@ -170,6 +171,7 @@
     Random m_random;
     std::shared_ptr<const FleetConfig> m_config;
     TimeMs m_proofUntil = 0;
+    double m_configAtMs = 0;
     Directory m_directory;
     AdmissionLevel m_admission;
     RetryTokens m_retryTokens;
