Event 502 team-tokens-taken: where the tokens of a team come from

A node now writes, with each report and only for teams with refusals or tokens of the share, how many tokens it received, took from grants and from its share, and what it holds.

--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -54,6 +54,7 @@
     UpstreamSilent = 407,
     QuotaShareChanged = 500,
     TeamOverRate = 501,
+    TeamTokensTaken = 502,
     ClaimGroupChanged = 600,
     ClaimRefused = 601,
     ClaimReplicaAbstains = 602,
--- a/packages/meshnode/meshnode.cpp
+++ b/packages/meshnode/meshnode.cpp
@@ -159,6 +159,18 @@
         }
         return link != nullptr;
     };
+    m_broker.teamRateLimiter().onUsage = [this](const std::string &team, const TeamRateLimiter::Usage &usage, double share, double unusedTokens) {
+        m_metrics.count("team_tokens_taken_total", "source=\"share\"", usage.fromShare);
+        m_log.write(Event::TeamTokensTaken,
+                    {{"team", team},
+                     {"from_grants", std::to_string(static_cast<int>(usage.fromGrants))},
+                     {"from_share", std::to_string(static_cast<int>(usage.fromShare))},
+                     {"refused", std::to_string(static_cast<int>(usage.refused))},
+                     {"received", std::to_string(static_cast<int>(usage.received))},
+                     {"share", std::to_string(share)},
+                     {"unused", std::to_string(unusedTokens)},
+                     {"leader", m_leader.leader()}});
+    };
     m_probe.onHealthy = [this](const std::string &id, int slots) {
         m_upstreams.addProbedUpstream(id, m_settings.upstreamAddress, slots);
     };
--- a/packages/meshnode/teammeter.cpp
+++ b/packages/meshnode/teammeter.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace Yuccagrade::Mesh
 {
@@ -29,12 +30,14 @@
     }
     if (bucket.tokens >= 1) {
         bucket.tokens -= 1;
+        bucket.usage.fromGrants += 1;
         return Result::Taken;
     }
     if (nowMs < m_ownShareUntilMs) {
         return takeFromOwnShare(bucket, team, nowMs);
     }
     if (nowMs < bucket.refusedUntilMs) {
+        bucket.usage.refused += 1;
         return Result::Refused;
     }
     // Each waiting request asks for one token, so that no unused tokens are granted.
@@ -48,9 +51,11 @@
     bucket.shareTokens = std::min(std::max(1.0, demandPerS * shareBurstS), bucket.shareTokens + elapsed * demandPerS / msPerSecond);
     bucket.shareUpdatedMs = nowMs;
     if (bucket.shareTokens < 1) {
+        bucket.usage.refused += 1;
         return Result::Refused;
     }
     bucket.shareTokens -= 1;
+    bucket.usage.fromShare += 1;
     return Result::Taken;
 }
 
@@ -65,7 +70,9 @@
 {
     Bucket &bucket = m_buckets[grant.team];
     bucket.tokens += grant.granted;
+    bucket.usage.received += grant.granted;
     if (grant.granted == 0) {
+        bucket.usage.refused += 1;
         bucket.refusedUntilMs = nowMs + std::min(grant.waitMs, maxRefusalMs);
     }
 }
@@ -76,6 +83,7 @@
         Bucket &bucket = m_buckets[share.team];
         bucket.share = share.share;
         bucket.tokens += share.tokens;
+        bucket.usage.received += share.tokens;
     }
 }
 
@@ -90,6 +98,10 @@
             bucket.demandPerS += (bucket.requestCount * msPerSecond / elapsed - bucket.demandPerS) * weight;
         }
         bucket.requestCount = 0;
+        const Usage usage = std::exchange(bucket.usage, {});
+        if (onUsage && (usage.fromShare > 0 || usage.refused > 0)) {
+            onUsage(team, usage, bucket.share, bucket.tokens);
+        }
         const double returned = std::max(0.0, std::floor(bucket.tokens - std::max(1.0, bucket.demandPerS * reserveS)));
         bucket.tokens -= returned;
         result.push_back({team, bucket.demandPerS, bucket.tokens, returned});
--- a/packages/meshnode/teammeter.h
+++ b/packages/meshnode/teammeter.h
@@ -17,6 +17,16 @@
 public:
     enum class Result { Taken, Refused, Pending };
 
+    /// What a team used since the previous report.
+    struct Usage {
+        double fromGrants = 0; ///< tokens
+        double fromShare = 0; ///< tokens
+        double refused = 0; ///< requests
+        double received = 0; ///< tokens granted by the leader
+    };
+
+    /// Called with each report for a team that had refusals or took tokens from the node's own share.
+    std::function<void(const std::string &team, const Usage &usage, double share, double unusedTokens)> onUsage;
     /// Sends a request for tokens to the leader. Returns false if there is no leader.
     std::function<bool(const TokenRequest &)> requestTokens;
 
@@ -46,6 +56,7 @@
         double refusedUntilMs = 0; ///< end of the wait time that the leader set with its last refusal
         double demandPerS = 0; ///< smoothed demand in requests/s
         double requestCount = 0; ///< requests since the last report
+        Usage usage; ///< since the last report
     };
     Result takeFromOwnShare(Bucket &bucket, const Team &team, double nowMs);
 
