Rate limits of teams: one account of granted tokens and tokens of shares

Cause: tokens came from two sources that did not know of each other. Class of fault: one limit kept in two accounts, of which each side knows only its own. By the same class, found by reading and by the generated schedules: shares grew before other nodes had given up theirs; a new leader knew nothing of the shares of its predecessor; stocks came on top of the burst; shares and tokens had no end at the node.

Change: TokenLedger (out of FleetRegistry) keeps one account for each node and team. Nodes report the share that they hold and all tokens that they took from it; the bucket is debited by them, and in advance for a node without a confirmed answer for 600 ms. Shares grow only by what others have confirmed to have given up. Unused tokens count against the burst. Every loss of contact starts a new account, so late grants of the former one are dropped. A new leader reserves the shares of nodes that it has not heard, as far as one of the others knows that they exist. A node uses tokens and shares only within a lease.

So that no more is refused below the limit: a node asks the leader again as soon as it answers, instead of using its share for 500 ms, and keeps a reserve while answers are late; a share may hold its part of the burst.

--- a/packages/mesh/meshsettings.cpp
+++ b/packages/mesh/meshsettings.cpp
@@ -111,6 +111,13 @@
 }
 }
 
+// Keys are accepted for part of the withdrawal time without the leader, so a longer use of shares is pointless.
+TimeMs FleetLimits::shareLeaseMs() const
+{
+    constexpr TimeMs minShareLeaseMs = 5'000;
+    return std::max(minShareLeaseMs, withdrawalMs);
+}
+
 std::string_view hostRoleName(HostRole role)
 {
     return hostRoleNames[static_cast<std::size_t>(role)];
--- a/packages/mesh/meshsettings.h
+++ b/packages/mesh/meshsettings.h
@@ -20,6 +20,9 @@
     TimeMs withdrawalMs = 0; ///< a withdrawn key must be refused everywhere this long after the withdrawal was acknowledged
     TimeMs stopMs = 0; ///< time from SIGTERM to the exit of the process
     int toleratedHosts = 0; ///< number of control hosts that may fail
+
+    /// Time since the last contact with the leader for which a node may use its share of the teams' rates.
+    TimeMs shareLeaseMs() const;
 };
 
 /// Settings of one process of the mesh. Addresses have the form `ip:port`.
--- a/packages/mesh/messages.cpp
+++ b/packages/mesh/messages.cpp
@@ -61,7 +61,7 @@
 }
 auto fields(Is<TeamDemand> auto &m)
 {
-    return std::tie(m.team, m.requestsPerS, m.unusedTokens, m.returnedTokens);
+    return std::tie(m.team, m.requestsPerS, m.unusedTokens, m.returnedTokens, m.receivedTokens, m.share, m.shareTokens, m.offlineTokens);
 }
 auto fields(Is<TeamShare> auto &m)
 {
@@ -69,11 +69,11 @@
 }
 auto fields(Is<TokenRequest> auto &m)
 {
-    return std::tie(m.team, m.wanted);
+    return std::tie(m.team, m.wanted, m.account, m.sequence);
 }
 auto fields(Is<TokenGrant> auto &m)
 {
-    return std::tie(m.team, m.granted, m.waitMs);
+    return std::tie(m.team, m.granted, m.waitMs, m.account, m.sequence);
 }
 auto fields(Is<ServiceLevel> auto &m)
 {
@@ -94,7 +94,10 @@
                     m.service,
                     m.load,
                     m.calledServices,
-                    m.ownLevel);
+                    m.ownLevel,
+                    m.account,
+                    m.answeredSequence,
+                    m.fleetSize);
 }
 auto fields(Is<SyncReplyMessage> auto &m)
 {
@@ -112,7 +115,9 @@
                     m.directory,
                     m.controlHosts,
                     m.shares,
-                    m.levels);
+                    m.levels,
+                    m.account,
+                    m.fleetSize);
 }
 auto fields(Is<ConsensusMessage> auto &m)
 {
--- a/packages/mesh/messages.h
+++ b/packages/mesh/messages.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -109,8 +110,18 @@
     double requestsPerS = 0; ///< smoothed requests per second
     double unusedTokens = 0; ///< tokens that were granted and not used yet
     double returnedTokens = 0; ///< granted tokens that the node returns unused
+    double receivedTokens = 0; ///< granted tokens that arrived in the present account
+    double share = 0; ///< own share of the rate that the node holds
+    double shareTokens = 0; ///< tokens taken from the own share since the start of the process
+    double offlineTokens = 0; ///< part of shareTokens that was taken since the last contact with a leader
 };
 
+/// Returns the tokens that a node may accumulate from its own share of a rate.
+inline double maxShareTokens(double share, double burst)
+{
+    return std::max(1.0, share * burst);
+}
+
 /// A node's allocation from the rate limit of a team.
 struct TeamShare {
     std::string team;
@@ -122,12 +133,16 @@
 struct TokenRequest {
     std::string team;
     int wanted = 0;
+    std::uint64_t account = 0; ///< SyncMessage::account
+    std::uint64_t sequence = 0; ///< ascending within an account
 };
 
 struct TokenGrant {
     std::string team;
     int granted = 0;
     double waitMs = 0; ///< time to the next token if none was granted
+    std::uint64_t account = 0; ///< of the request
+    std::uint64_t sequence = 0; ///< of the request
 };
 
 /// Load shedding level of a service: 0 admits all requests, n refuses the n lowest priorities.
@@ -159,6 +174,9 @@
     LoadReport load; ///< of that upstream
     std::vector<std::string> calledServices; ///< services that the upstream called recently
     double ownLevel = 0; ///< ServiceLevel::own of the service as last received
+    std::uint64_t account = 0; ///< token account; the node starts a new one whenever it loses contact with the leader
+    std::uint64_t answeredSequence = 0; ///< newest report that a leader answered while no other one could lead
+    int fleetSize = 0; ///< SyncReplyMessage::fleetSize as last received; 0 before the first contact
 };
 
 /// No other control host can lead while the leader's last contact with a majority is younger than this, in ms.
@@ -180,6 +198,8 @@
     std::vector<std::string> controlHosts; ///< peer addresses
     std::vector<TeamShare> shares;
     std::vector<ServiceLevel> levels;
+    std::uint64_t account = 0; ///< token account to which the shares and their tokens belong
+    int fleetSize = 0; ///< nodes among which the rates are shared
 
     /// True if no other control host could lead when the reply was sent, so that its configuration was the newest.
     bool isCurrent() const
--- a/packages/meshcontrol/meshcontrol.cpp
+++ b/packages/meshcontrol/meshcontrol.cpp
@@ -8,6 +8,7 @@
 #include "fleetregistry.h"
 #include "levelcontroller.h"
 #include "net/httpport.h"
+#include "tokenledger.h"
 
 #include <algorithm>
 #include <set>
@@ -18,6 +19,7 @@
 {
 constexpr TimeMs reportPeriodMs = 300;
 constexpr TimeMs allocationPeriodMs = 250;
+constexpr TimeMs ledgerPeriodMs = 50;
 // Changes within this time are sent together.
 constexpr TimeMs pushDelayMs = 20;
 // Longer delay while the nodes send their first reports to a new leader, since each of these changes the directory.
@@ -49,7 +51,7 @@
     void handlePeerFrame(std::uint64_t linkId, FrameType type, std::string_view payload);
     void handleControlLinkFrame(FrameType type, std::string_view payload);
     void handleSync(std::uint64_t linkId, const SyncMessage &message);
-    SyncReplyMessage makeReply(Session &session);
+    SyncReplyMessage makeReply(Session &session, std::uint64_t sequence);
     void pushUpdates();
     void schedulePush();
     void directoryChanged();
@@ -77,6 +79,7 @@
     ControlGroup m_group;
     DocumentStore m_store;
     FleetRegistry m_registry;
+    TokenLedger m_ledger;
     LevelController m_levels;
     HttpPort m_operatorPort;
     HttpPort m_metricsPort;
@@ -105,6 +108,7 @@
     , m_links(m_loop, settings.hostIp)
     , m_group(m_loop, m_links, m_log, m_settings)
     , m_registry(m_loop.clock().now())
+    , m_ledger(m_loop.clock().now(), settings.fleetLimits.shareLeaseMs())
     , m_operatorPort(m_loop,
                      [this](const ExchangePtr &exchange) {
                          handleOperatorCall(exchange);
@@ -153,6 +157,7 @@
         m_leads = leads;
         m_leadsSince = m_loop.clock().now();
         m_registry = FleetRegistry(m_leadsSince);
+        m_ledger = TokenLedger(m_leadsSince, m_settings.fleetLimits.shareLeaseMs());
         m_levels = LevelController();
         loadTeamRates();
         m_submissionResults.clear();
@@ -198,6 +203,11 @@
     m_loop.every(reportPeriodMs, [this] {
         reportToLeader();
     });
+    m_loop.every(ledgerPeriodMs, [this] {
+        if (m_leads) {
+            m_ledger.advance(m_loop.clock().now());
+        }
+    });
     m_loop.every(nodeTimeoutCheckPeriodMs, [this] {
         if (m_leads && m_registry.expire(m_loop.clock().now())) {
             directoryChanged();
@@ -236,7 +246,9 @@
             // A host that may not lead any more sends no answer, since two leaders would grant more than the rate; the node
             // finds the leader by its own reports.
             if (m_leads && m_group.isCurrent()) {
-                link->send(FrameType::TokenGrant, encode(m_registry.grant(request, m_loop.clock().now())));
+                if (const auto grant = m_ledger.grant(m_sessions[linkId].peerAddress, request, m_loop.clock().now())) {
+                    link->send(FrameType::TokenGrant, encode(*grant));
+                }
             }
             return;
         }
@@ -320,16 +332,18 @@
         session.directoryVersion = message.directoryVersion;
         session.directoryTerm = message.directoryTerm;
         m_levels.report(message, now);
-        if (m_leads && m_registry.report(message, now)) {
-            directoryChanged();
+        if (m_leads) {
+            m_ledger.report(message, linkId, now);
+            if (m_registry.report(message, now)) {
+                directoryChanged();
+            }
         }
     }
     if (now - m_sharesAllocatedAt > allocationPeriodMs) {
         m_sharesAllocatedAt = now;
-        m_registry.allocateShares(now);
+        m_ledger.allocateShares(now);
     }
-    SyncReplyMessage reply = makeReply(session);
-    reply.sequence = message.sequence;
+    SyncReplyMessage reply = makeReply(session, message.sequence);
     session.link->send(FrameType::SyncReply, encode(reply));
 }
 
@@ -360,12 +374,14 @@
     const auto config = std::make_shared<FleetConfig>();
     Findings findings;
     m_adapter.readDocument(m_store.document(), *config, findings);
-    m_registry.setConfig(config);
+    m_ledger.setConfig(config);
 }
 
-SyncReplyMessage ControlHost::makeReply(Session &session)
+// Makes the reply to the report @p sequence, or an update if it is 0.
+SyncReplyMessage ControlHost::makeReply(Session &session, std::uint64_t sequence)
 {
     SyncReplyMessage reply;
+    reply.sequence = sequence;
     reply.leads = m_leads && m_group.replica().isReady() && !m_stopping;
     reply.leaderAddress = m_leads ? m_settings.peerAddress : leaderAddress();
     if (!reply.leads || session.peerAddress.empty()) {
@@ -391,7 +407,9 @@
     reply.controlHosts = m_group.hosts();
     reply.levels = m_levels.levels(m_loop.clock().now());
     if (m_group.isCurrent()) {
-        reply.shares = m_registry.shares(session.peerAddress, m_loop.clock().now());
+        reply.shares = m_ledger.shares(session.peerAddress, sequence, m_loop.clock().now());
+        reply.account = m_ledger.account(session.peerAddress);
+        reply.fleetSize = m_ledger.fleetSize(m_loop.clock().now());
     }
     return reply;
 }
@@ -420,7 +438,7 @@
         if (session.peerAddress.empty()) {
             continue;
         }
-        const SyncReplyMessage reply = makeReply(session);
+        const SyncReplyMessage reply = makeReply(session, 0);
         if (reply.hasDocument || reply.hasDirectory) {
             session.link->send(FrameType::SyncReply, encode(reply));
         }
--- a/packages/meshnode/callbroker.cpp
+++ b/packages/meshnode/callbroker.cpp
@@ -23,9 +23,7 @@
 constexpr double minRetryAfterMs = 200;
 constexpr double retryAfterSpreadMs = 400;
 constexpr int firstServerError = 500;
-// Maximum time that a request waits for a token from the leader, and the interval at which this is checked. A leader is
-// delayed by about 60 ms while it sends a new configuration to all nodes of a large fleet.
-constexpr double maxTokenWaitMs = 150;
+// Interval at which calls that wait for a token from the leader are checked.
 constexpr TimeMs tokenWaitCheckMs = 20;
 // Maximum wait while no upstream is reachable, as a fraction of a nested call's remaining time and of a new request's
 // latency goal. A killed process is restarted after about 0.5 s. Nested calls wait longer since a failure would waste the
@@ -33,8 +31,6 @@
 constexpr double nestedUpstreamWaitShare = 0.8;
 constexpr double rootUpstreamWaitShare = 0.1;
 constexpr TimeMs upstreamWaitCheckMs = 20;
-// After a missing answer of the leader, the node uses its own share of the rate for this time before it asks again.
-constexpr double ownShareFallbackMs = 500;
 }
 
 CallBroker::CallBroker(EventLoop &loop,
@@ -57,6 +53,7 @@
     , m_directory(m_identity.domain, random)
     , m_admissionControl(random)
     , m_retryBudget(fleetLimits.retryRatio, fleetLimits.retryPerWindow, static_cast<double>(fleetLimits.retryWindowMs))
+    , m_teamRateLimiter(static_cast<std::uint32_t>(m_random.below(1ULL << 32U)))
 {
 }
 
@@ -117,7 +114,7 @@
     call->endsAtRouteLimit = routeMs < callerMs;
     call->deadlineMs = call->arrivedMs + std::min(callerMs, routeMs);
     if (authorize(call, request) && admit(*call)) {
-        takeTeamToken(call);
+        takeTeamToken(call, false);
     }
 }
 
@@ -148,9 +145,9 @@
 }
 
 // Starts the call if the team has a token, else refuses it or queues it until the leader's answer.
-void CallBroker::takeTeamToken(const CallPtr &call)
+void CallBroker::takeTeamToken(const CallPtr &call, bool hasWaited)
 {
-    const auto result = call->rateLimitedTeam ? m_teamRateLimiter.tryTake(*call->rateLimitedTeam, now()) : TeamRateLimiter::Result::Taken;
+    const auto result = call->rateLimitedTeam ? m_teamRateLimiter.tryTake(*call->rateLimitedTeam, now(), hasWaited) : TeamRateLimiter::Result::Taken;
     if (result == TeamRateLimiter::Result::Taken) {
         startCall(call);
     } else if (result == TeamRateLimiter::Result::Refused) {
@@ -174,7 +171,9 @@
 
 void CallBroker::handleTokenGrant(const TokenGrant &grant)
 {
-    m_teamRateLimiter.addGrant(grant, now());
+    if (!m_teamRateLimiter.addGrant(grant, now())) {
+        return;
+    }
     auto &waitingCalls = m_waitingForToken[grant.team];
     if (waitingCalls.empty()) {
         return;
@@ -198,12 +197,11 @@
     const double at = now();
     bool anyWaiting = false;
     for (auto &[team, waitingCalls] : m_waitingForToken) {
-        while (!waitingCalls.empty() && at - waitingCalls.front()->tokenWaitStartMs > maxTokenWaitMs) {
-            m_teamRateLimiter.useOwnShareUntil(at + ownShareFallbackMs);
+        while (!waitingCalls.empty() && at - waitingCalls.front()->tokenWaitStartMs > TeamRateLimiter::maxTokenWaitMs) {
             const CallPtr call = waitingCalls.front();
             waitingCalls.pop_front();
             if (!call->exchange->isFinished()) {
-                takeTeamToken(call);
+                takeTeamToken(call, true);
             }
         }
         anyWaiting = anyWaiting || !waitingCalls.empty();
--- a/packages/meshnode/callbroker.h
+++ b/packages/meshnode/callbroker.h
@@ -154,7 +154,8 @@
     void process(const CallPtr &call);
     bool authorize(const CallPtr &call, const CallerRequest &request);
     bool admit(Call &call);
-    void takeTeamToken(const CallPtr &call);
+    /// @p hasWaited is true if the leader did not answer a token request for the call in time.
+    void takeTeamToken(const CallPtr &call, bool hasWaited);
     void expireTokenWaits();
     void refuseOverRate(const CallPtr &call);
     void startCall(const CallPtr &call);
--- a/packages/meshnode/leaderclient.cpp
+++ b/packages/meshnode/leaderclient.cpp
@@ -51,6 +51,9 @@
 void LeaderClient::switchTarget()
 {
     setContact(false);
+    if (onTargetLost) {
+        onTargetLost();
+    }
     m_sentAt.clear();
     if (m_controlHosts.empty()) {
         return;
--- a/packages/meshnode/leaderclient.h
+++ b/packages/meshnode/leaderclient.h
@@ -22,6 +22,9 @@
     /// Called with a reply or an update of the leader. @p sentMs is the send time of the report, 0 for an update.
     std::function<void(const SyncReplyMessage &, double sentMs)> onReply;
 
+    /// Called when the contact with the present target ends, before another one is chosen.
+    std::function<void()> onTargetLost;
+
     /// Starts the periodic reports.
     void start();
     /// Sends a report before the next period, such as after a state change.
--- a/packages/meshnode/meshnode.cpp
+++ b/packages/meshnode/meshnode.cpp
@@ -174,6 +174,9 @@
     m_probe.onHealthy = [this](const std::string &id, int slots) {
         m_upstreams.addProbedUpstream(id, m_settings.upstreamAddress, slots);
     };
+    m_leader.onTargetLost = [this] {
+        m_broker.teamRateLimiter().startAccount();
+    };
     m_leader.report = [this] {
         return buildReport();
     };
@@ -301,7 +304,7 @@
     message.load = m_upstreams.load();
     message.calledServices = m_broker.calledServices();
     message.ownLevel = m_broker.ownLevel();
-    message.demand = m_broker.teamRateLimiter().demand(m_loop.clock().preciseMs());
+    m_broker.teamRateLimiter().fillReport(message, m_loop.clock().preciseMs());
     return message;
 }
 
@@ -316,7 +319,10 @@
     if (sentMs > 0 && reply.isCurrent() && m_configIndex == reply.configIndex && m_configIndex > 0) {
         m_broker.confirmConfig(sentMs);
     }
-    m_broker.teamRateLimiter().setShares(reply.shares);
+    if (reply.isCurrent()) {
+        const double leaseEndMs = sentMs + static_cast<double>(m_settings.fleetLimits.shareLeaseMs());
+        m_broker.teamRateLimiter().applyReply(reply, sentMs > 0 ? leaseEndMs : 0, m_loop.clock().preciseMs());
+    }
     m_broker.setLevels(reply.levels);
     // The validity starts at the leader's last contact with a majority, which was majorityContactAgeMs before it handled the report.
     // The delays between the nodes are unknown, so the send time of the report is the latest safe start.
--- a/packages/meshnode/teammeter.cpp
+++ b/packages/meshnode/teammeter.cpp
@@ -10,51 +10,109 @@
 {
 // Time constant of the exponential moving average of the reported demand.
 constexpr double demandTimeConstantMs = 700;
-// Burst size of the node's own share, in seconds of its rate.
-constexpr double shareBurstS = 0.5;
 // Granted tokens that are kept in reserve, in seconds of demand; the rest is returned to the leader.
 constexpr double reserveS = 0.5;
 // A refused caller that retries immediately would be refused again.
 constexpr double minRetryAfterMs = 300;
 // Maximum validity of a refusal by the leader, since other nodes may return tokens.
 constexpr double maxRefusalMs = 60;
+// A token request that was not answered for this time is considered lost.
+constexpr double requestLostMs = 650;
+// Time after an answer that came too late, for which tokens are kept in reserve.
+constexpr double lateAnswersMs = 3'000;
 constexpr double msPerSecond = 1'000;
 }
 
-TeamRateLimiter::Result TeamRateLimiter::tryTake(const Team &team, double nowMs)
+TeamRateLimiter::Result TeamRateLimiter::tryTake(const Team &team, double nowMs, bool hasWaited)
 {
     Bucket &bucket = m_buckets[team.name];
     bucket.requestCount += 1;
     if (team.ratePerS <= 0) {
         return Result::Taken;
     }
+    // The leader gives tokens and shares of a node to others after the end of its lease.
+    if (nowMs > m_leaseEndMs) {
+        bucket.tokens = 0;
+        bucket.usage.refused += 1;
+        return Result::Refused;
+    }
     if (bucket.tokens >= 1) {
         bucket.tokens -= 1;
         bucket.usage.fromGrants += 1;
+        replenishReserve(bucket, team.name, nowMs);
         return Result::Taken;
     }
-    if (nowMs < m_ownShareUntilMs) {
+    if (hasWaited) {
+        m_lateUntilMs = nowMs + lateAnswersMs;
+    }
+    if (hasWaited || isLeaderLate(nowMs)) {
         return takeFromOwnShare(bucket, team, nowMs);
     }
     if (nowMs < bucket.refusedUntilMs) {
         bucket.usage.refused += 1;
         return Result::Refused;
     }
-    // Each waiting request asks for one token, so that no unused tokens are granted.
-    return requestTokens({team.name, 1}) ? Result::Pending : takeFromOwnShare(bucket, team, nowMs);
+    return requestToken(bucket, team.name, nowMs) ? Result::Pending : takeFromOwnShare(bucket, team, nowMs);
+}
+
+// Answers keep the order of the requests, so the oldest one tells how late they are.
+bool TeamRateLimiter::isLeaderLate(double nowMs)
+{
+    std::erase_if(m_unansweredRequests, [nowMs](const auto &request) {
+        return nowMs - request.second > requestLostMs;
+    });
+    return !m_unansweredRequests.empty() && nowMs - m_unansweredRequests.begin()->second > maxTokenWaitMs;
+}
+
+// Tokens that bridge times without an answer; none while the answers are in time.
+int TeamRateLimiter::missingReserve(const Bucket &bucket, double nowMs) const
+{
+    if (nowMs >= m_lateUntilMs || m_unansweredRequests.contains(bucket.reserveRequest)) {
+        return 0;
+    }
+    return std::max(0, static_cast<int>(1 + std::round(bucket.demandPerS * reserveS) - bucket.tokens));
+}
+
+// Each waiting request asks for one token, so that no unused tokens are granted while the answers are in time.
+bool TeamRateLimiter::requestToken(Bucket &bucket, const std::string &team, double nowMs)
+{
+    const int reserve = missingReserve(bucket, nowMs);
+    const bool isSent = sendRequest(team, 1 + reserve, nowMs);
+    bucket.reserveRequest = isSent && reserve > 0 ? m_lastRequest : bucket.reserveRequest;
+    return isSent;
+}
+
+void TeamRateLimiter::replenishReserve(Bucket &bucket, const std::string &team, double nowMs)
+{
+    const int missing = missingReserve(bucket, nowMs);
+    if (missing > bucket.tokens && nowMs >= bucket.refusedUntilMs) {
+        sendRequest(team, missing, nowMs);
+        bucket.reserveRequest = m_lastRequest;
+    }
+}
+
+bool TeamRateLimiter::sendRequest(const std::string &team, int wanted, double nowMs)
+{
+    if (!requestTokens({team, wanted, m_account, ++m_lastRequest})) {
+        return false;
+    }
+    m_unansweredRequests.emplace(m_lastRequest, nowMs);
+    return true;
 }
 
 TeamRateLimiter::Result TeamRateLimiter::takeFromOwnShare(Bucket &bucket, const Team &team, double nowMs)
 {
-    const double demandPerS = team.ratePerS * bucket.share;
-    const double elapsed = bucket.shareUpdatedMs == 0 ? 0 : nowMs - bucket.shareUpdatedMs;
-    bucket.shareTokens = std::min(std::max(1.0, demandPerS * shareBurstS), bucket.shareTokens + elapsed * demandPerS / msPerSecond);
+    const double ratePerS = team.ratePerS * bucket.share;
+    const double elapsed = nowMs - std::max(bucket.shareUpdatedMs, m_contactMs);
+    const double accrued = bucket.shareTokens + elapsed * ratePerS / msPerSecond;
+    bucket.shareTokens = std::min(maxShareTokens(bucket.share, team.burst), accrued);
     bucket.shareUpdatedMs = nowMs;
     if (bucket.shareTokens < 1) {
         bucket.usage.refused += 1;
         return Result::Refused;
     }
     bucket.shareTokens -= 1;
+    bucket.takenFromShare += 1;
     bucket.usage.fromShare += 1;
     return Result::Taken;
 }
@@ -66,32 +124,54 @@
     return std::max(minRetryAfterMs, wait);
 }
 
-void TeamRateLimiter::addGrant(const TokenGrant &grant, double nowMs)
+bool TeamRateLimiter::addGrant(const TokenGrant &grant, double nowMs)
 {
+    if (grant.account != m_account) {
+        return false;
+    }
+    m_unansweredRequests.erase(m_unansweredRequests.begin(), m_unansweredRequests.upper_bound(grant.sequence));
     Bucket &bucket = m_buckets[grant.team];
     bucket.tokens += grant.granted;
+    bucket.received += grant.granted;
     bucket.usage.received += grant.granted;
     if (grant.granted == 0) {
         bucket.usage.refused += 1;
         bucket.refusedUntilMs = nowMs + std::min(grant.waitMs, maxRefusalMs);
     }
+    return true;
 }
 
-void TeamRateLimiter::setShares(const std::vector<TeamShare> &shares)
+void TeamRateLimiter::applyReply(const SyncReplyMessage &reply, double leaseEndMs, double nowMs)
 {
-    for (const TeamShare &share : shares) {
+    if (reply.account != m_account) {
+        return;
+    }
+    m_fleetSize = reply.fleetSize;
+    for (const TeamShare &share : reply.shares) {
         Bucket &bucket = m_buckets[share.team];
         bucket.share = share.share;
         bucket.tokens += share.tokens;
+        bucket.received += share.tokens;
         bucket.usage.received += share.tokens;
     }
+    if (leaseEndMs > 0) {
+        m_answeredSequence = reply.sequence;
+        m_contactMs = nowMs;
+        m_leaseEndMs = leaseEndMs;
+        for (auto &[team, bucket] : m_buckets) {
+            bucket.shareTokens = 0;
+            bucket.takenBeforeContact = bucket.takenFromShare;
+        }
+    }
 }
 
-std::vector<TeamDemand> TeamRateLimiter::demand(double nowMs)
+void TeamRateLimiter::fillReport(SyncMessage &report, double nowMs)
 {
+    report.account = m_account;
+    report.answeredSequence = m_answeredSequence;
+    report.fleetSize = m_fleetSize;
     const double elapsed = nowMs - m_reportedMs;
     m_reportedMs = nowMs;
-    std::vector<TeamDemand> result;
     for (auto &[team, bucket] : m_buckets) {
         if (elapsed > 0) {
             const double weight = 1 - std::exp(-elapsed / demandTimeConstantMs);
@@ -102,10 +182,16 @@
         if (onUsage && (usage.fromShare > 0 || usage.refused > 0)) {
             onUsage(team, usage, bucket.share, bucket.tokens);
         }
-        const double returned = std::max(0.0, std::floor(bucket.tokens - std::max(1.0, bucket.demandPerS * reserveS)));
+        const double returned = std::max(0.0, bucket.tokens - std::round(bucket.demandPerS * reserveS) - (nowMs < m_lateUntilMs ? 1 : 0));
         bucket.tokens -= returned;
-        result.push_back({team, bucket.demandPerS, bucket.tokens, returned});
+        report.demand.push_back({team,
+                                 bucket.demandPerS,
+                                 bucket.tokens,
+                                 returned,
+                                 bucket.received,
+                                 bucket.share,
+                                 bucket.takenFromShare,
+                                 bucket.takenFromShare - bucket.takenBeforeContact});
     }
-    return result;
 }
 }
--- a/packages/meshnode/teammeter.h
+++ b/packages/meshnode/teammeter.h
@@ -3,7 +3,9 @@
 #include "mesh/fleetconfig.h"
 #include "mesh/messages.h"
 
+#include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <string>
 #include <vector>
@@ -11,11 +13,15 @@
 namespace Yuccagrade::Mesh
 {
 /// Enforces the teams' request rates at this node. The leader maintains a token bucket per team for all nodes and grants
-/// tokens in advance and on request. Without an answering leader, a node uses the share of the rate that is reserved for it.
+/// tokens in advance and on request. Without an answering leader, a node takes tokens from its own share of the rate, which
+/// accumulate since the leader's last answer; it reports them, so that the leader debits them to the team.
 class TeamRateLimiter
 {
 public:
     enum class Result { Taken, Refused, Pending };
+    /// Maximum time that a request waits for a token from the leader. A leader is delayed by about 60 ms while it sends a new
+    /// configuration to all nodes of a large fleet.
+    static constexpr double maxTokenWaitMs = 150;
 
     /// What a team used since the previous report.
     struct Usage {
@@ -25,27 +31,40 @@
         double received = 0; ///< tokens granted by the leader
     };
 
+    /// @param processId tells the accounts of this process from those of earlier ones of the node.
+    explicit TeamRateLimiter(std::uint32_t processId)
+        : m_account(static_cast<std::uint64_t>(processId) << 32U | 1U)
+    {
+    }
+
     /// Called with each report for a team that had refusals or took tokens from the node's own share.
     std::function<void(const std::string &team, const Usage &usage, double share, double unusedTokens)> onUsage;
     /// Sends a request for tokens to the leader. Returns false if there is no leader.
     std::function<bool(const TokenRequest &)> requestTokens;
 
     /// Takes a token of @p team. Pending means that a token was requested from the leader; the caller retries after
-    /// addGrant().
-    Result tryTake(const Team &team, double nowMs);
+    /// addGrant(), or after maxTokenWaitMs without it as @p hasWaited.
+    Result tryTake(const Team &team, double nowMs, bool hasWaited = false);
     /// Returns the Retry-After time for a refused caller of the team, in ms.
     double retryAfterMs(const Team &team, double nowMs) const;
-    /// Adds the tokens that the leader granted on request; a grant of none sets the time of refusals.
-    void addGrant(const TokenGrant &grant, double nowMs);
-    /// Sets the shares of the rates and adds the tokens that the leader granted in advance.
-    void setShares(const std::vector<TeamShare> &shares);
-    /// Takes tokens from this node's share until @p untilMs, without requests to the leader.
-    void useOwnShareUntil(double untilMs)
+    /// Adds the tokens that the leader granted on request; a grant of none sets the time of refusals. Returns false if the grant
+    /// belongs to a former account.
+    bool addGrant(const TokenGrant &grant, double nowMs);
+    /// Sets the shares of the rates and adds the tokens that the leader granted in advance. @p leaseEndMs is the time until
+    /// which the shares and all granted tokens may be used, 0 if the reply is no answer to a report.
+    void applyReply(const SyncReplyMessage &reply, double leaseEndMs, double nowMs);
+    /// Starts a new account with the leader, since tokens and shares on their way to this node may be lost.
+    void startAccount()
     {
-        m_ownShareUntilMs = untilMs;
+        ++m_account;
+        m_answeredSequence = 0;
+        m_unansweredRequests.clear();
+        for (auto &[team, bucket] : m_buckets) {
+            bucket.received = 0;
+        }
     }
-    /// Returns the demand of all teams for the next report, including the unused tokens that it returns to the leader.
-    std::vector<TeamDemand> demand(double nowMs);
+    /// Adds the account and the demand of all teams to a report, including the unused tokens that it returns to the leader.
+    void fillReport(SyncMessage &report, double nowMs);
 
 private:
     struct Bucket {
@@ -53,15 +72,31 @@
         double share = 0;
         double shareTokens = 0; ///< from this node's share
         double shareUpdatedMs = 0;
+        double takenFromShare = 0; ///< tokens since the start of the process
+        double takenBeforeContact = 0; ///< value of takenFromShare at the last answer of a leader
+        std::uint64_t reserveRequest = 0; ///< sequence of the newest request that included a reserve
+        double received = 0; ///< granted tokens in the present account
         double refusedUntilMs = 0; ///< end of the wait time that the leader set with its last refusal
         double demandPerS = 0; ///< smoothed demand in requests/s
         double requestCount = 0; ///< requests since the last report
         Usage usage; ///< since the last report
     };
     Result takeFromOwnShare(Bucket &bucket, const Team &team, double nowMs);
+    bool isLeaderLate(double nowMs);
+    bool requestToken(Bucket &bucket, const std::string &team, double nowMs);
+    void replenishReserve(Bucket &bucket, const std::string &team, double nowMs);
+    bool sendRequest(const std::string &team, int wanted, double nowMs);
+    int missingReserve(const Bucket &bucket, double nowMs) const;
 
     std::map<std::string, Bucket> m_buckets;
     double m_reportedMs = 0;
-    double m_ownShareUntilMs = 0;
+    std::map<std::uint64_t, double> m_unansweredRequests; ///< send times of token requests by sequence
+    std::uint64_t m_lastRequest = 0;
+    double m_lateUntilMs = 0; ///< until then, requests include tokens for times without an answer
+    std::uint64_t m_account;
+    std::uint64_t m_answeredSequence = 0; ///< in the present account
+    double m_contactMs = 0; ///< time of the last answer of a leader
+    double m_leaseEndMs = std::numeric_limits<double>::max();
+    int m_fleetSize = 0;
 };
 }
