mesh_operator: a leader with late answers, in real processes

The test freezes the leader for 300 ms out of every 400 ms, too short for another one to be elected, while 18 callers ask as one team. It counts the requests served in any 5 s, of which 416 are allowed.

--- a/tests/integration/mesh_operator.cpp
+++ b/tests/integration/mesh_operator.cpp
@@ -457,3 +457,63 @@
     BOOST_TEST(2 * statuses[200] > requests, "statuses" << toText(statuses));
     BOOST_TEST(countOf(statuses, isDenial) == 0, "statuses" << toText(statuses));
 }
+
+// Guards against tokens of the nodes' shares that are spent beside the full rate of a leader whose answers are late.
+BOOST_FIXTURE_TEST_CASE(lateLeaderDoesNotRaiseTheLimitOfATeam, OperatedMesh)
+{
+    constexpr double teamRatePerS = 60;
+    constexpr double windowMs = 5'000;
+    constexpr double allowed = (teamRatePerS * windowMs / 1'000 + teamRatePerS) * 1.1 + 20;
+    constexpr double loadMs = 9'000;
+    constexpr int callersOfNode = 3;
+    Host &present = leader();
+    Change change(version(), version() + 1);
+    change.document = renderConfiguration(change.version, {{"read", "safe", "deep"}}, {"key-0"}, teamRatePerS);
+    BOOST_REQUIRE(submit(present, change) == 200);
+    const double endMs = Test::steadyMs() + loadMs;
+    const auto callInLoop = [endMs](const Host &node, int caller) {
+        std::vector<std::pair<double, double>> served; // time of the request and of its answer
+        for (int i = 0; Test::steadyMs() < endMs; ++i) {
+            const double sentMs = Test::steadyMs();
+            const std::string id = "q" + node.name + '-' + std::to_string(caller) + '-' + std::to_string(i);
+            const Test::HttpAnswer answer = Test::httpCall(
+                {.address = node.callerAddress,
+                 .path = "/read/" + id,
+                 .headers = {"Host: a.example", "X-Yuccagrade-Request-Id: " + id, "X-Yuccagrade-Deadline-Ms: 2000", "Authorization: Bearer key-0"},
+                 .timeoutMs = 3'000});
+            if (answer.status == 200) {
+                served.emplace_back(sentMs, Test::steadyMs());
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        }
+        return served;
+    };
+    std::vector<std::future<std::vector<std::pair<double, double>>>> loops;
+    for (const Host *node : nodes()) {
+        for (int caller = 0; caller < callersOfNode; ++caller) {
+            loops.push_back(std::async(std::launch::async, callInLoop, std::cref(*node), caller));
+        }
+    }
+    // Shorter than the time after which another control host may lead.
+    while (Test::steadyMs() < endMs) {
+        present.process->freeze();
+        std::this_thread::sleep_for(std::chrono::milliseconds(300));
+        present.process->resume();
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+    std::vector<std::pair<double, double>> served;
+    for (auto &loop : loops) {
+        const auto part = loop.get();
+        served.insert(served.end(), part.begin(), part.end());
+    }
+    std::size_t worst = 0;
+    for (const auto &[startMs, ignored] : served) {
+        const auto inWindow = std::count_if(served.begin(), served.end(), [from = startMs](const auto &request) {
+            return request.first >= from && request.second <= from + windowMs;
+        });
+        worst = std::max(worst, static_cast<std::size_t>(inWindow));
+    }
+    BOOST_TEST_MESSAGE(worst << " requests served in 5 s, " << served.size() << " in all, " << allowed << " allowed in 5 s");
+    BOOST_TEST(static_cast<double>(worst) <= allowed);
+    BOOST_TEST(static_cast<double>(worst) >= teamRatePerS * windowMs / 1'000 / 2);
+}
