The limit that an upstream names in its responses is kept

Cause: nothing read the field `Server-Limit` (on the wire without the prefix of the other fields). Class of fault: a message of the platform that the adapter drops without a trace.

Change: the adapter reads it; LocalUpstreams, through which all requests to an upstream pass, paces them by it (RequestPacer), until a response comes without it. A call that cannot start in time is refused at once as not offered, so its node tries another upstream. The load report counts the slots that the named rate can fill, so other nodes choose other upstreams and the leader sheds at the entry what the service cannot take. Event 408 and a metric name the limit.

--- a/packages/base/eventlog.cpp
+++ b/packages/base/eventlog.cpp
@@ -74,6 +74,7 @@
     {Event::UpstreamAnnounced, Info, "upstream-announced", "The upstream of this host announced itself."},
     {Event::UpstreamDraining, Info, "upstream-draining", "The upstream of this host drains."},
     {Event::UpstreamSilent, Warning, "upstream-silent", "The upstream of this host stopped announcing itself."},
+    {Event::UpstreamLimited, Info, "upstream-limited", "The upstream of this host named another limit of its requests, or none."},
     {Event::QuotaShareChanged, Debug, "quota-share-changed", "The shares of this failure domain changed."},
     {Event::TeamOverRate, Info, "team-over-rate", "A request was refused because its team is over its rate."},
     {Event::TeamTokensTaken, Info, "team-tokens-taken", "Tokens of a team over its rate, or without the leader, since the last report."},
--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -52,6 +52,7 @@
     UpstreamAnnounced = 405,
     UpstreamDraining = 406,
     UpstreamSilent = 407,
+    UpstreamLimited = 408,
     QuotaShareChanged = 500,
     TeamOverRate = 501,
     TeamTokensTaken = 502,
--- a/packages/mesh/protocoladapter.h
+++ b/packages/mesh/protocoladapter.h
@@ -34,6 +34,7 @@
     std::optional<TimeMs> idleTimeoutMs; ///< how long the upstream keeps an idle connection
     std::string upstreamId; ///< incarnation that answered a health check
     std::optional<LoadReport> load; ///< busy: running and waiting calls; limit: slots
+    std::optional<double> limitPerS; ///< requests per second that the upstream takes from all hosts together
 };
 
 /// Announcement of an upstream to the node on its host.
--- a/packages/meshnode/localupstreams.cpp
+++ b/packages/meshnode/localupstreams.cpp
@@ -29,6 +29,7 @@
 constexpr double removeAfterSilenceMs = 60'000;
 // Limit for all responses that are being read, less than a third of the memory of the smallest process.
 constexpr std::size_t maxHeldResponseBytes = 48U << 20U;
+constexpr double msPerSecond = 1'000;
 }
 
 LocalUpstreams::LocalUpstreams(EventLoop &loop, const ProtocolAdapter &adapter, EventLog &log, Metrics &metrics, Identity identity)
@@ -113,6 +114,7 @@
     upstream.lastContactMs = now();
     if (restarted) {
         upstream.departed = false;
+        upstream.pacer.setRate(std::nullopt, now());
         for (const auto &connection : std::exchange(upstream.connections, {})) {
             connection->abandon("upstream restarted");
         }
@@ -184,6 +186,10 @@
         return;
     }
     upstream->newCalls += call.message.offeredBefore ? 0 : 1;
+    if (exceedsRate(*upstream, call)) {
+        refuse(call, "limit named by the upstream");
+        return;
+    }
     if (mayStart(*upstream) && upstream->queue.empty()) {
         start(found->first, *upstream, std::move(call));
         return;
@@ -194,7 +200,31 @@
 
 bool LocalUpstreams::mayStart(const Upstream &upstream) const
 {
-    return upstream.active < limitOf(upstream);
+    return upstream.active < limitOf(upstream) && upstream.pacer.waitMs(0, now()) <= 0;
+}
+
+bool LocalUpstreams::exceedsRate(const Upstream &upstream, const OfferedCall &call) const
+{
+    const double wait = upstream.pacer.waitMs(upstream.queue.size(), now());
+    return wait > 0 && now() + wait > call.startByMs;
+}
+
+int LocalUpstreams::usableSlots(const Upstream &upstream) const
+{
+    const int limit = limitOf(upstream);
+    if (!upstream.pacer.isLimited()) {
+        return limit;
+    }
+    return std::clamp(static_cast<int>(std::ceil(upstream.pacer.ratePerS() * upstream.serviceMs / msPerSecond)), 1, limit);
+}
+
+void LocalUpstreams::applyAnswer(const std::string &id, const UpstreamAnswer &answer)
+{
+    Upstream &upstream = m_upstreams[id];
+    if (upstream.pacer.setRate(answer.limitPerS, now())) {
+        m_metrics.gauge("upstream_limit_per_s", answer.limitPerS.value_or(-1), "upstream=\"" + id + '"');
+        m_log.write(Event::UpstreamLimited, {{"upstream", id}, {"per_s", answer.limitPerS ? std::to_string(*answer.limitPerS) : "none"}});
+    }
 }
 
 void LocalUpstreams::refuse(const OfferedCall &call, const std::string &reason)
@@ -258,6 +288,9 @@
                      {"signed", answer.hasSignature ? "yes" : "no"},
                      {"body_bytes", std::to_string(response.body.size())}});
     };
+    connection->onAnswer = [this, id](const UpstreamAnswer &answer) {
+        applyAnswer(id, answer);
+    };
     connection->onIdleClosed = [this, id](const std::shared_ptr<UpstreamConnection> &self) {
         if (const auto found = m_upstreams.find(id); found != m_upstreams.end()) {
             found->second.connections.remove(self);
@@ -276,6 +309,7 @@
         return;
     }
     ++upstream.active;
+    upstream.pacer.recordSent(now());
     connection->send(std::move(call));
     scheduleSweep();
 }
@@ -448,6 +482,9 @@
     for (OfferedCall &call : upstream.queue.takeExpired(at)) {
         refuse(call, "no slot in time");
     }
+    if (upstream.pacer.isLimited()) {
+        startQueuedCalls(id, upstream);
+    }
     const double silence = std::max(minSilenceMs, upstream.serviceMs * silenceFactor);
     const bool silent = at - upstream.lastContactMs > silence;
     const auto connections = upstream.connections;
@@ -494,7 +531,7 @@
     for (const auto &[id, upstream] : m_upstreams) {
         if (stateOf(upstream) == UpstreamState::Ready) {
             report.busy += upstream.active + static_cast<int>(upstream.queue.size());
-            report.limit += limitOf(upstream);
+            report.limit += usableSlots(upstream);
             report.offeredLoad += upstream.demandSlots;
         }
     }
--- a/packages/meshnode/localupstreams.h
+++ b/packages/meshnode/localupstreams.h
@@ -3,6 +3,7 @@
 #include "base/eventlog.h"
 #include "base/metrics.h"
 #include "mesh/protocoladapter.h"
+#include "requestpacer.h"
 #include "upstreamconnection.h"
 #include "upstreamqueue.h"
 
@@ -72,6 +73,7 @@
         double serviceMs = 0; ///< smoothed service time
         std::map<std::uint32_t, double> serviceMsOfKind; ///< smoothed service time by kind of call
         int active = 0;
+        RequestPacer pacer;
         UpstreamQueue queue;
         std::list<std::shared_ptr<UpstreamConnection>> connections; ///< most recently used first
     };
@@ -81,7 +83,12 @@
         return m_loop.clock().preciseMs();
     }
     int limitOf(const Upstream &upstream) const;
+    /// Slots that the upstream can use at its named rate.
+    int usableSlots(const Upstream &upstream) const;
     bool mayStart(const Upstream &upstream) const;
+    /// Returns true if the named rate of the upstream does not let the call start in time.
+    bool exceedsRate(const Upstream &upstream, const OfferedCall &call) const;
+    void applyAnswer(const std::string &id, const UpstreamAnswer &answer);
     UpstreamState stateOf(const Upstream &upstream) const;
     std::string refusalReason(const Upstream *upstream, const CallMessage &message) const;
     void refuse(const OfferedCall &call, const std::string &reason);
--- a/packages/meshnode/upstreamconnection.cpp
+++ b/packages/meshnode/upstreamconnection.cpp
@@ -169,6 +169,9 @@
         reply.head = forwardedHead(m_adapter, message);
         reply.body = std::move(message.body);
     }
+    if (onAnswer && reply.outcome != CallOutcome::MayHaveRun) {
+        onAnswer(answer);
+    }
     const double idle = answer.idleTimeoutMs ? std::max(0.0, static_cast<double>(*answer.idleTimeoutMs) - idleMarginMs) : defaultIdleMs;
     m_reusableUntilMs = m_loop.clock().preciseMs() + idle;
     // Bytes after a complete response belong to no call.
--- a/packages/meshnode/upstreamconnection.h
+++ b/packages/meshnode/upstreamconnection.h
@@ -41,6 +41,9 @@
     /// Called with a response to the present call that lacks the request id, or is no refusal and lacks the signature.
     std::function<void(const HttpMessage &response, const UpstreamAnswer &answer)> onUnsigned;
 
+    /// Called with each response that the upstream gave to the present call, before onDone.
+    std::function<void(const UpstreamAnswer &answer)> onAnswer;
+
     /// Sends a call; the connection must be reusable.
     void send(OfferedCall call);
     /// Ends the present call without a complete answer and closes the connection.
--- a/tests/meshnode/upstreamtest.cpp
+++ b/tests/meshnode/upstreamtest.cpp
@@ -20,7 +20,8 @@
 {
 constexpr TimeMs testTimeoutMs = 10'000;
 
-// Protocol of these tests: X-Id is the request id, X-Receipt marks complete responses of the upstream, X-Not-Run a refusal.
+// Protocol of these tests: X-Id is the request id, X-Receipt marks complete responses of the upstream, X-Not-Run a refusal, X-Limit a
+// limit of requests/s.
 ProtocolAdapter testAdapter()
 {
     ProtocolAdapter adapter;
@@ -35,6 +36,9 @@
         answer.requestId = message.field("X-Id") ? *message.field("X-Id") : std::string();
         answer.hasSignature = message.field("X-Receipt") != nullptr;
         answer.notExecuted = message.field("X-Not-Run") != nullptr;
+        if (const std::string *limit = message.field("X-Limit")) {
+            answer.limitPerS = std::stod(*limit);
+        }
         return answer;
     };
     return adapter;
@@ -737,3 +741,58 @@
     BOOST_TEST(fixture.run("c").body == "C");
     BOOST_TEST(upstream.connections() == 2U);
 }
+
+// Guards against sending an upstream more requests than the rate that it names.
+BOOST_AUTO_TEST_CASE(namedLimitIsKept)
+{
+    Fixture fixture;
+    constexpr double limitPerS = 20;
+    constexpr double windowMs = 1'000;
+    int received = 0;
+    HookedUpstream upstream(fixture.loop, [&](TcpStream &stream, std::size_t, std::size_t) {
+        ++received;
+        stream.write(response("a", "A", "X-Receipt: 1\r\nX-Limit: 20\r\n"));
+    });
+    fixture.port.announce(fixture.heartbeat(upstream.address()));
+    BOOST_TEST(fixture.run("a").body == "A");
+    received = 0;
+    int answered = 0;
+    int refused = 0;
+    const double startMs = fixture.loop.clock().preciseMs();
+    const auto offer = fixture.loop.every(5, [&] {
+        CallMessage message = fixture.call("a");
+        message.latencyGoalMs = 500;
+        fixture.port.offer(message, 0, [&](const ReplyMessage &reply) {
+            ++(reply.outcome == CallOutcome::Answered ? answered : refused);
+        });
+    });
+    fixture.loop.after(static_cast<TimeMs>(windowMs), [&] {
+        fixture.loop.stop();
+    });
+    fixture.loop.run();
+    fixture.loop.cancel(offer);
+    const double elapsedS = (fixture.loop.clock().preciseMs() - startMs) / 1'000;
+    BOOST_TEST(received <= limitPerS * elapsedS + 5);
+    BOOST_TEST(received >= limitPerS * elapsedS / 2);
+    BOOST_TEST(refused > 100);
+    BOOST_TEST(fixture.port.load().limit == 1);
+}
+
+// Guards against keeping to a limit that the upstream does not name any more.
+BOOST_AUTO_TEST_CASE(limitEndsWithTheFirstResponseWithoutIt)
+{
+    Fixture fixture;
+    ScriptedUpstream upstream(fixture.loop,
+                              {response("a", "A", "X-Receipt: 1\r\nX-Limit: 0\r\n"), response("b", "B"), response("c", "C")},
+                              ScriptedUpstream::AfterAnswer::Keep);
+    fixture.port.announce(fixture.heartbeat(upstream.address()));
+    BOOST_TEST(fixture.run("a").body == "A");
+    BOOST_TEST(fixture.run("b").reason == "limit named by the upstream");
+    // An upstream that takes no requests gets one after 2 s, since only a response can lift its limit.
+    fixture.loop.after(2'100, [&] {
+        fixture.loop.stop();
+    });
+    fixture.loop.run();
+    BOOST_TEST(fixture.run("b").body == "B");
+    BOOST_TEST(fixture.run("c").body == "C");
+}
--- a/tests/platform/platformtest.cpp
+++ b/tests/platform/platformtest.cpp
@@ -202,3 +202,18 @@
     BOOST_TEST(adapter.renderRefusal("9c41", 503, 250).find("Retry-After: 0.250\r\n") != std::string::npos);
     BOOST_TEST(adapter.renderRefusal("9c41", 504, -1).find("Retry-After") == std::string::npos);
 }
+
+// Guards against a limit of a server that is not read from its responses.
+BOOST_AUTO_TEST_CASE(limitOfAServerIsRead)
+{
+    const ProtocolAdapter adapter = Platform::makeProtocolAdapter();
+    HttpMessage response;
+    response.status = 200;
+    BOOST_TEST(!adapter.readAnswer(response).limitPerS);
+    response.fields = {{"server-limit", " 19.4"}};
+    BOOST_TEST(adapter.readAnswer(response).limitPerS.value() == 19.4);
+    for (const std::string value : {"", "x", "-1", "nan", "inf", "1e999", "3 4"}) {
+        response.fields = {{"Server-Limit", value}};
+        BOOST_TEST(!adapter.readAnswer(response).limitPerS, value);
+    }
+}
