An upstream that says in a response that it leaves gets no more requests

Callers would see requests at a server that has said, in the header `Server-Leaving: 1` of a response, that it leaves (DRAIN).

Cause: nothing read the field; only announcements made a server drain.

--- a/packages/mesh/protocoladapter.h
+++ b/packages/mesh/protocoladapter.h
@@ -35,6 +35,7 @@
     std::string upstreamId; ///< incarnation that answered a health check
     std::optional<LoadReport> load; ///< busy: running and waiting calls; limit: slots
     std::optional<double> limitPerS; ///< requests per second that the upstream takes from all hosts together
+    bool leaving = false; ///< the upstream is about to end
 };
 
 /// Announcement of an upstream to the node on its host.
--- a/packages/meshnode/localupstreams.cpp
+++ b/packages/meshnode/localupstreams.cpp
@@ -62,7 +62,7 @@
 
 UpstreamState LocalUpstreams::stateOf(const Upstream &upstream) const
 {
-    if (m_draining || upstream.departed || upstream.info.draining) {
+    if (m_draining || upstream.departed || upstream.leaving || upstream.info.draining) {
         return UpstreamState::Draining;
     }
     return upstream.reachable ? UpstreamState::Ready : UpstreamState::Unreachable;
@@ -114,6 +114,7 @@
     upstream.lastContactMs = now();
     if (restarted) {
         upstream.departed = false;
+        upstream.leaving = false;
         upstream.pacer.setRate(std::nullopt, now());
         for (const auto &connection : std::exchange(upstream.connections, {})) {
             connection->abandon("upstream restarted");
@@ -225,6 +226,14 @@
         m_metrics.gauge("upstream_limit_per_s", answer.limitPerS.value_or(-1), "upstream=\"" + id + '"');
         m_log.write(Event::UpstreamLimited, {{"upstream", id}, {"per_s", answer.limitPerS ? std::to_string(*answer.limitPerS) : "none"}});
     }
+    if (answer.leaving && !upstream.leaving) {
+        upstream.leaving = true;
+        m_log.write(Event::UpstreamDraining, {{"upstream", id}, {"cause", "response"}});
+        for (OfferedCall &call : upstream.queue.takeAll()) {
+            refuse(call, "upstream drains");
+        }
+        onStateChanged();
+    }
 }
 
 void LocalUpstreams::refuse(const OfferedCall &call, const std::string &reason)
--- a/packages/meshnode/localupstreams.h
+++ b/packages/meshnode/localupstreams.h
@@ -66,6 +66,7 @@
         double lastContactMs = 0; ///< time of the last announcement or response
         double retryAtMs = 0; ///< earliest time of the next trial call to an unreachable upstream
         bool departed = false;
+        bool leaving = false; ///< according to its responses
         bool reachable = true;
         bool trialRunning = false;
         int newCalls = 0; ///< calls since the last measurement of demand, without retries
--- a/tests/meshnode/upstreamtest.cpp
+++ b/tests/meshnode/upstreamtest.cpp
@@ -21,7 +21,7 @@
 constexpr TimeMs testTimeoutMs = 10'000;
 
 // Protocol of these tests: X-Id is the request id, X-Receipt marks complete responses of the upstream, X-Not-Run a refusal, X-Limit a
-// limit of requests/s.
+// limit of requests/s, X-Leaving an upstream that is about to end.
 ProtocolAdapter testAdapter()
 {
     ProtocolAdapter adapter;
@@ -36,6 +36,7 @@
         answer.requestId = message.field("X-Id") ? *message.field("X-Id") : std::string();
         answer.hasSignature = message.field("X-Receipt") != nullptr;
         answer.notExecuted = message.field("X-Not-Run") != nullptr;
+        answer.leaving = message.field("X-Leaving") != nullptr;
         if (const std::string *limit = message.field("X-Limit")) {
             answer.limitPerS = std::stod(*limit);
         }
@@ -796,3 +797,15 @@
     BOOST_TEST(fixture.run("b").body == "B");
     BOOST_TEST(fixture.run("c").body == "C");
 }
+
+// Guards against calls to an upstream that says in a response that it leaves, also after a late announcement.
+BOOST_AUTO_TEST_CASE(leavingUpstreamGetsNoCall)
+{
+    Fixture fixture;
+    ScriptedUpstream upstream(fixture.loop, {response("a", "A", "X-Receipt: 1\r\nX-Leaving: 1\r\n"), response("b", "B")}, ScriptedUpstream::AfterAnswer::Keep);
+    fixture.port.announce(fixture.heartbeat(upstream.address()));
+    BOOST_TEST(fixture.run("a").body == "A");
+    BOOST_TEST((fixture.port.entries().front().state == UpstreamState::Draining));
+    fixture.port.announce(fixture.heartbeat(upstream.address(), 2));
+    BOOST_TEST(fixture.run("b").reason == "upstream drains");
+}
--- a/tests/platform/platformtest.cpp
+++ b/tests/platform/platformtest.cpp
@@ -203,17 +203,20 @@
     BOOST_TEST(adapter.renderRefusal("9c41", 504, -1).find("Retry-After") == std::string::npos);
 }
 
-// Guards against a limit of a server that is not read from its responses.
-BOOST_AUTO_TEST_CASE(limitOfAServerIsRead)
+// Guards against a limit, or the leave of a server, that is not read from its responses.
+BOOST_AUTO_TEST_CASE(limitAndLeaveOfAServerAreRead)
 {
     const ProtocolAdapter adapter = Platform::makeProtocolAdapter();
     HttpMessage response;
     response.status = 200;
     BOOST_TEST(!adapter.readAnswer(response).limitPerS);
-    response.fields = {{"server-limit", " 19.4"}};
+    BOOST_TEST(!adapter.readAnswer(response).leaving);
+    response.fields = {{"server-limit", " 19.4"}, {"Server-Leaving", "1"}};
     BOOST_TEST(adapter.readAnswer(response).limitPerS.value() == 19.4);
+    BOOST_TEST(adapter.readAnswer(response).leaving);
     for (const std::string value : {"", "x", "-1", "nan", "inf", "1e999", "3 4"}) {
-        response.fields = {{"Server-Limit", value}};
+        response.fields = {{"Server-Limit", value}, {"Server-Leaving", "0"}};
         BOOST_TEST(!adapter.readAnswer(response).limitPerS, value);
+        BOOST_TEST(!adapter.readAnswer(response).leaving);
     }
 }
