Announcements with numbers that are too large name no server

Here deep nesting (100,000 levels) and ports out of range were refused already; oddAnnouncementsNameNoServer now guards that. Three numbers were taken: a sequence of 2^64 - 1 and a start time of 2^63 - 1, after which every later announcement of that server counts as outdated, and a cold time of 1e308 s, which marks it as cold for good. No process ended.

--- a/tests/platform/platformtest.cpp
+++ b/tests/platform/platformtest.cpp
@@ -124,6 +124,36 @@
     BOOST_TEST((departure->kind == Announcement::Kind::Departure));
 }
 
+// Guards against odd announcements that end the process, name a server, or outdate the announcements that follow.
+BOOST_AUTO_TEST_CASE(oddAnnouncementsNameNoServer)
+{
+    constexpr std::size_t depth = 100'000;
+    const std::vector<std::pair<std::string, std::string>> replacements{{"8080", "0"},
+                                                                        {"8080", "65536"},
+                                                                        {"8080", "99999999999999999999"},
+                                                                        {"8080", "-1"},
+                                                                        {"8080", ""},
+                                                                        {"10.128.0.9:8080", "10.128.0.999:8080"},
+                                                                        {"\"slots\":72", "\"slots\":99999999999999999999"},
+                                                                        {"\"slots\":72", "\"slots\":1e300"},
+                                                                        {"\"sequence\":4", "\"sequence\":1e300"},
+                                                                        {"\"sequence\":4", "\"sequence\":18446744073709551615"},
+                                                                        {"1782481240028", "9223372036854775807"},
+                                                                        {"1782481240028", "1e999"},
+                                                                        {"\"coldRemainingS\":1.5", "\"coldRemainingS\":1e308"},
+                                                                        {"\"coldRemainingS\":1.5", "\"coldRemainingS\":1e999"},
+                                                                        {"72", std::string(depth, '[') + std::string(depth, ']')},
+                                                                        {"72", std::string(depth, '[')}};
+    std::string error;
+    BOOST_REQUIRE(Platform::readAnnouncement(heartbeat(heartbeatBody), error));
+    for (const auto &[what, with] : replacements) {
+        error.clear();
+        const std::string label = what + " -> " + with.substr(0, 40);
+        BOOST_TEST(!Platform::readAnnouncement(heartbeat(replaced(heartbeatBody, what, with)), error), label);
+        BOOST_TEST(!error.empty(), label);
+    }
+}
+
 // Guards against forwarding a caller's key or forged identity fields to a server.
 BOOST_AUTO_TEST_CASE(callCarriesTheLayersFieldsOnly)
 {
