--- a/tests/platform/platformtest.cpp
+++ b/tests/platform/platformtest.cpp
@@ -84,6 +84,23 @@
     BOOST_TEST(findingsOf("[]") == 1U);
 }
 
+// Guards against time limits and sizes that turn negative because a number in a configuration is too large.
+BOOST_AUTO_TEST_CASE(hugeNumbersOfADocumentAreBounded)
+{
+    for (const std::string number : {"1e300", "99999999999999999999", "1e18"}) {
+        std::string text = replaced(document, "\"timeoutS\":1.2", "\"timeoutS\":" + number);
+        text = replaced(text, "\"maxBodyBytes\":67108864", "\"maxBodyBytes\":" + number);
+        text = replaced(text, "\"maxConnections\":370", "\"maxConnections\":" + number);
+        FleetConfig config;
+        Findings findings;
+        Platform::readDocument(text, config, findings);
+        BOOST_REQUIRE_MESSAGE(findings.empty(), toText(findings));
+        BOOST_TEST(config.route("a.example", "/p/x")->timeoutMs > 1'000'000, number);
+        BOOST_TEST(config.limits.maxBodyBytes > 1'000'000U, number);
+        BOOST_TEST(config.service("s1")->maxConnections > 1'000'000, number);
+    }
+}
+
 // Guards against a crash on malformed documents and announcements.
 BOOST_AUTO_TEST_CASE(cutAndChangedInputNeverThrows, *utf::label("property"))
 {
