Requests that a stopping node reads late are refused or finished

Where it had other work, a request that was read whole at, say, 4.3 s was passed on with its full time and cut at 5.75 s. Class of fault: work is taken without asking whether its time is left.

Change: requests in part count as pending. After the time in which new requests are served, one whose time limit lies behind the end of the process gets 503 with Retry-After at once; nested calls belong to requests that are still served and go on.

--- a/packages/meshnode/callbroker.cpp
+++ b/packages/meshnode/callbroker.cpp
@@ -113,6 +113,11 @@
     const auto routeMs = static_cast<double>(call->route->timeoutMs);
     call->endsAtRouteLimit = routeMs < callerMs;
     call->deadlineMs = call->arrivedMs + std::min(callerMs, routeMs);
+    // Nested calls belong to requests that the upstream still serves.
+    if (!call->route->open && call->arrivedMs > m_newRequestsUntilMs && call->deadlineMs > m_stopAtMs) {
+        refuse(*call, 503, retryAfterMs(), Event::RequestRefusedDraining, "process stops");
+        return;
+    }
     if (authorize(call, request) && admit(*call)) {
         takeTeamToken(call, false);
     }
--- a/packages/meshnode/callbroker.h
+++ b/packages/meshnode/callbroker.h
@@ -14,6 +14,7 @@
 #include "teammeter.h"
 
 #include <deque>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <set>
@@ -72,6 +73,12 @@
     {
         return m_loop.clock().now() < m_keysFreshUntil;
     }
+    /// Refuses new requests that arrive after @p newRequestsUntilMs, unless they end before the process does, at @p stopAtMs.
+    void drain(double newRequestsUntilMs, double stopAtMs)
+    {
+        m_newRequestsUntilMs = newRequestsUntilMs;
+        m_stopAtMs = stopAtMs;
+    }
     void setLevels(const std::vector<ServiceLevel> &levels)
     {
         m_admissionControl.setLevels(levels, now());
@@ -199,6 +206,8 @@
     std::shared_ptr<const FleetConfig> m_config;
     TimeMs m_keysFreshUntil = 0;
     double m_configAtMs = 0;
+    double m_newRequestsUntilMs = std::numeric_limits<double>::max();
+    double m_stopAtMs = std::numeric_limits<double>::max();
     DenialHistory m_denials;
     std::deque<PendingDenial> m_pendingDenials; ///< in the order of arrival
     double m_confirmationRequestedMs = 0;
--- a/packages/meshnode/meshnode.cpp
+++ b/packages/meshnode/meshnode.cpp
@@ -472,6 +472,7 @@
     m_drainingSince = m_loop.clock().now();
     m_log.write(Event::DrainStarted, {{"pending", std::to_string(m_broker.pending())}});
     m_callerPort.closeAfterResponses();
+    m_broker.drain(static_cast<double>(m_drainingSince + listenerDrainMs), static_cast<double>(m_drainingSince + m_settings.fleetLimits.stopMs - exitMarginMs));
     // The upstream keeps running. Its slots are withdrawn late, so that they are unused only while its last calls end.
     m_loop.after(upstreamDrainDelayMs, [this] {
         m_upstreams.drain();
--- a/packages/net/httpport.cpp
+++ b/packages/net/httpport.cpp
@@ -109,7 +109,7 @@
 
     std::size_t pending() const
     {
-        return m_exchanges.size();
+        return m_exchanges.size() + (m_reader.state() == HttpReader::State::Reading ? 1 : 0);
     }
     void finish()
     {
--- a/packages/net/httpport.h
+++ b/packages/net/httpport.h
@@ -94,7 +94,7 @@
     {
         return m_connections.size();
     }
-    /// Requests that were read and not answered.
+    /// Requests that were read in part or whole and not answered.
     std::size_t pending() const;
 
 private:
--- a/tests/integration/mesh_operator.cpp
+++ b/tests/integration/mesh_operator.cpp
@@ -251,6 +251,10 @@
             m_fleet.setPath(*other, host, rule);
         }
     }
+    Fleet &fleet()
+    {
+        return m_fleet;
+    }
     std::vector<const Host *> nodes()
     {
         std::vector<const Host *> result;
@@ -517,3 +521,52 @@
     BOOST_TEST(static_cast<double>(worst) <= allowed);
     BOOST_TEST(static_cast<double>(worst) >= teamRatePerS * windowMs / 1'000 / 2);
 }
+
+// Guards against a request that is read late in a planned stop, passed on, and cut when the process ends.
+BOOST_FIXTURE_TEST_CASE(lateRequestOfAStoppingNodeIsAnswered, OperatedMesh)
+{
+    leader();
+    Host &node = *std::find_if(fleet().hosts().begin(), fleet().hosts().end(), [](const Host &host) {
+        return !host.control;
+    });
+    const auto requestOf = [](const std::string &id) {
+        return renderRequest("GET",
+                             "/read/" + id,
+                             {{"X-Yuccagrade-Request-Id", id}, {"X-Yuccagrade-Deadline-Ms", "5000"}, {"Authorization", "Bearer key-0"}},
+                             {});
+    };
+    BOOST_REQUIRE(Test::waitFor(
+        [&] {
+            const RawConnection connection(node.callerAddress);
+            connection.send(requestOf("early"));
+            return connection.status() == 200;
+        },
+        startBoundMs));
+    for (std::size_t i = 0; i < fleet().servers(); ++i) {
+        fleet().setServerPath(i, {.delayMs = 1'500});
+    }
+    // Connections that were open before the stop; their requests begin while the node still takes new ones.
+    std::vector<std::unique_ptr<RawConnection>> connections;
+    for (int i = 0; i < 4; ++i) {
+        connections.push_back(std::make_unique<RawConnection>(node.callerAddress));
+    }
+    const double stoppedMs = Test::steadyMs();
+    Fleet::stop(node);
+    const auto waitUntil = [stoppedMs](double ms) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(static_cast<int>(stoppedMs + ms - Test::steadyMs())));
+    };
+    constexpr std::size_t early = 20;
+    waitUntil(2'300);
+    for (std::size_t i = 0; i < connections.size(); ++i) {
+        connections[i]->send(std::string_view(requestOf("late-" + std::to_string(i))).substr(0, early));
+    }
+    waitUntil(4'300);
+    for (std::size_t i = 0; i < connections.size(); ++i) {
+        const std::string request = requestOf("late-" + std::to_string(i));
+        connections[i]->send(std::string_view(request).substr(early));
+    }
+    for (const auto &connection : connections) {
+        BOOST_TEST(connection->status() == 503);
+    }
+    BOOST_TEST(Test::steadyMs() - stoppedMs < 5'300);
+}
