Control hosts remember the size of the leader's fleet

Callers would see a team above its limit after a change of the leader, if all nodes that report to the new one have restarted and another one is cut off with a share: none of them knows that it exists, so the new leader reserved nothing. Found by the generated schedules: 1 in 619 to 4,000 schedules of changesOfTheLeaderDoNotRaiseTheLimitOfATeam exceeded the bound, by up to 78 requests.

Change: the leader tells the other control hosts the size of its fleet, as it tells the nodes, and a new leader starts with it. Not covered: all control hosts and all reachable nodes lose their memory at once, while another node is cut off.

--- a/packages/meshcontrol/meshcontrol.cpp
+++ b/packages/meshcontrol/meshcontrol.cpp
@@ -92,6 +92,8 @@
     std::string m_compressedDirectory; ///< directory of version m_compressedDirectoryVersion
     std::uint64_t m_compressedDirectoryVersion = 0;
     std::string m_leaderHint; ///< peer address of the leader according to another control host
+    int m_formerFleetSize = 0; ///< TokenLedger::fleetSize() of the leader
+    TimeMs m_formerFleetSizeAt = 0; ///< time of its reply
     bool m_leads = false;
     TimeMs m_leadsSince = 0;
     std::uint64_t m_directoryVersion = 1;
@@ -154,10 +156,15 @@
         return m_store.save();
     };
     m_group.onLeadership = [this](bool leads) {
-        m_leads = leads;
         m_leadsSince = m_loop.clock().now();
+        if (m_leads) {
+            m_formerFleetSize = m_ledger.fleetSize(m_leadsSince);
+            m_formerFleetSizeAt = m_leadsSince;
+        }
+        m_leads = leads;
         m_registry = FleetRegistry(m_leadsSince);
-        m_ledger = TokenLedger(m_leadsSince, m_settings.fleetLimits.shareLeaseMs());
+        const TimeMs leaseMs = m_settings.fleetLimits.shareLeaseMs();
+        m_ledger = TokenLedger(m_leadsSince, leaseMs, m_leadsSince - m_formerFleetSizeAt <= leaseMs ? m_formerFleetSize : 0);
         m_levels = LevelController();
         loadTeamRates();
         m_submissionResults.clear();
@@ -277,6 +284,10 @@
         SyncReplyMessage reply;
         if (decode(payload, reply)) {
             m_leaderHint = reply.leaderAddress;
+            if (reply.leads) {
+                m_formerFleetSize = reply.fleetSize;
+                m_formerFleetSizeAt = m_loop.clock().now();
+            }
             return;
         }
     }
@@ -384,6 +395,9 @@
     reply.sequence = sequence;
     reply.leads = m_leads && m_group.replica().isReady() && !m_stopping;
     reply.leaderAddress = m_leads ? m_settings.peerAddress : leaderAddress();
+    if (reply.leads) {
+        reply.fleetSize = m_ledger.fleetSize(m_loop.clock().now());
+    }
     if (!reply.leads || session.peerAddress.empty()) {
         return reply;
     }
@@ -409,7 +423,6 @@
     if (m_group.isCurrent()) {
         reply.shares = m_ledger.shares(session.peerAddress, sequence, m_loop.clock().now());
         reply.account = m_ledger.account(session.peerAddress);
-        reply.fleetSize = m_ledger.fleetSize(m_loop.clock().now());
     }
     return reply;
 }
--- a/packages/meshcontrol/tokenledger.cpp
+++ b/packages/meshcontrol/tokenledger.cpp
@@ -32,9 +32,10 @@
 }
 }
 
-TokenLedger::TokenLedger(TimeMs startedAt, TimeMs shareLeaseMs)
+TokenLedger::TokenLedger(TimeMs startedAt, TimeMs shareLeaseMs, int formerFleetSize)
     : m_startedAt(startedAt)
     , m_leaseMs(shareLeaseMs)
+    , m_formerFleetSize(formerFleetSize)
 {
 }
 
--- a/packages/meshcontrol/tokenledger.h
+++ b/packages/meshcontrol/tokenledger.h
@@ -28,7 +28,8 @@
     static constexpr TimeMs unreportedMs = 600;
 
     /// @param startedAt start of the term; tokens that accrued earlier belong to previous leaders.
-    TokenLedger(TimeMs startedAt, TimeMs shareLeaseMs);
+    /// @param formerFleetSize fleetSize() of the previous leader, 0 if unknown.
+    TokenLedger(TimeMs startedAt, TimeMs shareLeaseMs, int formerFleetSize = 0);
 
     void setConfig(std::shared_ptr<const FleetConfig> config);
     /// Processes the report that a node sent on the link @p linkId. Links are numbered in the order in which they were
@@ -96,7 +97,7 @@
     std::shared_ptr<const FleetConfig> m_config;
     std::map<std::string, Node> m_nodes; ///< by peer address
     std::map<std::string, Bucket> m_buckets; ///< by team
-    int m_formerFleetSize = 0; ///< of the previous term
+    int m_formerFleetSize; ///< of the previous term
     int m_formerNodes = 0; ///< of them, those that have reported
     int m_newNodes = 0; ///< nodes that had no contact with a previous leader
 };
--- a/tests/meshcontrol/tokenschedules.cpp
+++ b/tests/meshcontrol/tokenschedules.cpp
@@ -141,7 +141,7 @@
     }
     void elect()
     {
-        m_ledger = std::make_unique<TokenLedger>(m_now, leaseMs);
+        m_ledger = std::make_unique<TokenLedger>(m_now, leaseMs, m_now - m_lostAt <= leaseMs ? m_formerFleetSize : 0);
         m_ledger->setConfig(m_config);
     }
     void restart(Node &node)
@@ -166,6 +166,9 @@
     {
         constexpr double perSecond = stepMs / 1'000.0;
         if (m_schedule.leaderChanges && m_ledger && chance(0.15 * perSecond)) {
+            // Control hosts that follow the leader remember the size of its fleet.
+            m_formerFleetSize = m_ledger->fleetSize(m_now);
+            m_lostAt = m_now;
             m_ledger.reset();
             m_electAt = m_now + between(500, 2'500);
             const bool noticed = chance(0.5);
@@ -337,6 +340,8 @@
     std::unique_ptr<TokenLedger> m_ledger;
     TimeMs m_now = 0;
     TimeMs m_electAt = 0;
+    TimeMs m_lostAt = 0;
+    int m_formerFleetSize = 0;
     TimeMs m_allocatedAt = 0;
     std::uint64_t m_lastLinkId = 0;
     std::vector<TimeMs> m_taken;
