--- a/packages/meshnode/callbroker.h
+++ b/packages/meshnode/callbroker.h
@@ -11,7 +11,7 @@
 #include "mesh/protocoladapter.h"
 #include "net/httpport.h"
 #include "retrytokens.h"
-#include "teammeter.h"
+#include "teamratelimiter.h"
 
 #include <deque>
 #include <limits>
--- a/packages/meshnode/teammeter.cpp
+++ b/packages/meshnode/teamratelimiter.cpp
@@ -1,4 +1,4 @@
-#include "teammeter.h"
+#include "teamratelimiter.h"
 
 #include <algorithm>
 #include <cmath>
--- a/tests/integration/mesh_operator.cpp
+++ b/tests/integration/mesh_operator.cpp
@@ -546,9 +546,9 @@
         fleet().setServerPath(i, {.delayMs = 1'500});
     }
     // Connections that were open before the stop; their requests begin while the node still takes new ones.
-    std::vector<std::unique_ptr<RawConnection>> connections;
-    for (int i = 0; i < 4; ++i) {
-        connections.push_back(std::make_unique<RawConnection>(node.callerAddress));
+    std::array<std::unique_ptr<RawConnection>, 4> connections;
+    for (auto &connection : connections) {
+        connection = std::make_unique<RawConnection>(node.callerAddress);
     }
     const double stoppedMs = Test::steadyMs();
     Fleet::stop(node);
--- a/tests/meshcontrol/tokenledgertest.cpp
+++ b/tests/meshcontrol/tokenledgertest.cpp
@@ -42,7 +42,7 @@
         message.fleetSize = sequence > 0 ? 1 : 0;
         ledger.report(message, 1, now);
         ledger.allocateShares(now);
-        const auto shares = ledger.shares(address, ++sequence, now);
+        auto shares = ledger.shares(address, ++sequence, now);
         answered = sequence;
         for (const TeamShare &share : shares) {
             demand.share = share.share;
--- a/tests/meshcontrol/tokenschedules.cpp
+++ b/tests/meshcontrol/tokenschedules.cpp
@@ -5,7 +5,7 @@
 
 #include "base/random.h"
 #include "meshcontrol/tokenledger.h"
-#include "meshnode/teammeter.h"
+#include "meshnode/teamratelimiter.h"
 
 #include <algorithm>
 #include <deque>
--- a/tests/meshnode/decisiontest.cpp
+++ b/tests/meshnode/decisiontest.cpp
@@ -3,7 +3,7 @@
 #include "meshnode/admissioncontrol.h"
 #include "meshnode/directory.h"
 #include "meshnode/retrytokens.h"
-#include "meshnode/teammeter.h"
+#include "meshnode/teamratelimiter.h"
 #include "meshnode/upstreamqueue.h"
 
 #include <rapidcheck.h>
--- a/tests/platform/platformtest.cpp
+++ b/tests/platform/platformtest.cpp
@@ -88,9 +88,9 @@
 BOOST_AUTO_TEST_CASE(hugeNumbersOfADocumentAreBounded)
 {
     for (const std::string number : {"1e300", "99999999999999999999", "1e18"}) {
-        std::string text = replaced(document, "\"timeoutS\":1.2", "\"timeoutS\":" + number);
-        text = replaced(text, "\"maxBodyBytes\":67108864", "\"maxBodyBytes\":" + number);
-        text = replaced(text, "\"maxConnections\":370", "\"maxConnections\":" + number);
+        std::string text = replaced(document, "\"timeoutS\":1.2", std::string("\"timeoutS\":").append(number));
+        text = replaced(text, "\"maxBodyBytes\":67108864", std::string("\"maxBodyBytes\":").append(number));
+        text = replaced(text, "\"maxConnections\":370", std::string("\"maxConnections\":").append(number));
         FleetConfig config;
         Findings findings;
         Platform::readDocument(text, config, findings);
