--- a/tests/meshcontrol/tokenledgertest.cpp
+++ b/tests/meshcontrol/tokenledgertest.cpp
@@ -184,7 +184,7 @@
     BOOST_TEST(grantedWith(1) >= 390);
 }
 
-// Guards against shares and tokens that a node uses after the leader has given them to others.
+// Guards against a late report of a former connection that replaces the present account.
 BOOST_AUTO_TEST_CASE(reportOnAnEarlierLinkIsIgnored)
 {
     TokenLedger ledger(0, leaseMs);
--- a/tests/meshcontrol/tokenschedules.cpp
+++ b/tests/meshcontrol/tokenschedules.cpp
@@ -105,8 +105,14 @@
     {
         return static_cast<double>(m_refused) / static_cast<double>(std::max(1, m_requests));
     }
+    /// Refusals beyond those of one bucket that all nodes share without delay, as a fraction of the requests.
+    double wrongfulShare() const
+    {
+        return static_cast<double>(m_refused - m_refusedByOneBucket) / static_cast<double>(std::max(1, m_requests));
+    }
     void resetCounts()
     {
+        m_refusedByOneBucket = 0;
         m_refused = 0;
         m_requests = 0;
     }
@@ -294,10 +300,21 @@
         for (; expected > 0; expected -= 1) {
             if (chance(expected)) {
                 ++m_requests;
+                takeFromOneBucket();
                 take(node);
             }
         }
     }
+    void takeFromOneBucket()
+    {
+        m_oneBucket = std::min(m_team.burst, m_oneBucket + static_cast<double>(m_now - m_oneBucketAt) * m_team.ratePerS / 1'000);
+        m_oneBucketAt = m_now;
+        if (m_oneBucket >= 1) {
+            m_oneBucket -= 1;
+        } else {
+            ++m_refusedByOneBucket;
+        }
+    }
     void take(Node &node, bool hasWaited = false)
     {
         switch (node.limiter->tryTake(m_team, static_cast<double>(m_now), hasWaited)) {
@@ -347,6 +364,9 @@
     std::vector<TimeMs> m_taken;
     int m_requests = 0;
     int m_refused = 0;
+    int m_refusedByOneBucket = 0;
+    double m_oneBucket = 0;
+    TimeMs m_oneBucketAt = 0;
 };
 
 double worstExcess(std::uint64_t seed, const Schedule &schedule)
@@ -395,3 +415,18 @@
         RC_ASSERT(fleet.refusedShare() <= 0.001);
     }));
 }
+
+// Guards against tokens that lie unused at some nodes while others refuse requests within the limit.
+BOOST_AUTO_TEST_CASE(refusesNoMoreThanOneBucketWould, *utf::label("property"))
+{
+    BOOST_TEST(rc::check("refusals at 90% and 95% of small rates, no disturbance", [](std::uint64_t seed) {
+        Random random(seed);
+        const double rate = std::array<double, 3>{20, 34, 80}[random.below(3)];
+        const double demand = random.below(2) == 0 ? 0.9 : 0.95;
+        Fleet fleet(seed, {.demandOfRate = demand}, rate, rate, 10 + static_cast<int>(random.below(80)));
+        fleet.run(5'000);
+        fleet.resetCounts();
+        fleet.run(60'000);
+        RC_ASSERT(fleet.wrongfulShare() <= 0.001);
+    }));
+}
