Events of drains that outlive a process, and what a silence was judged by

Logs could not tell why a server that had left was used again after a restart of its node, nor on what evidence an upstream was called silent.

Events 409 and 410 name the drain that the leader gave back to a restarted process and the announcement that ended it; 407 names the time since the last contact, the mean service time and the running calls.

--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -53,6 +53,8 @@
     UpstreamDraining = 406,
     UpstreamSilent = 407,
     UpstreamLimited = 408,
+    UpstreamDrainRestored = 409,
+    UpstreamDrainEnded = 410,
     QuotaShareChanged = 500,
     TeamOverRate = 501,
     TeamTokensTaken = 502,
--- a/packages/meshnode/localupstreams.cpp
+++ b/packages/meshnode/localupstreams.cpp
@@ -93,7 +93,15 @@
     if (isFormerlyDrained(announcement)) {
         return false;
     }
-    m_formerlyDrained.erase(announcement.id);
+    if (const auto former = m_formerlyDrained.find(announcement.id); former != m_formerlyDrained.end()) {
+        m_log.write(Event::UpstreamDrainEnded,
+                    {{"upstream", announcement.id},
+                     {"drained_started_at", std::to_string(former->second.startedAt)},
+                     {"drained_sequence", std::to_string(former->second.sequence)},
+                     {"started_at", std::to_string(announcement.startedAt)},
+                     {"sequence", std::to_string(announcement.sequence)}});
+        m_formerlyDrained.erase(former);
+    }
     Upstream &upstream = m_upstreams[announcement.id];
     const bool known = upstream.lastContactMs > 0;
     const bool restarted = known && upstream.info.startedAt > 0 && announcement.startedAt > upstream.info.startedAt;
@@ -420,7 +428,12 @@
         return;
     }
     upstream.reachable = reachable;
-    m_log.write(reachable ? Event::UpstreamAnnounced : Event::UpstreamSilent, {{"upstream", id}, {"cause", reason}});
+    m_log.write(reachable ? Event::UpstreamAnnounced : Event::UpstreamSilent,
+                {{"upstream", id},
+                 {"cause", reason},
+                 {"heard_ms_ago", std::to_string(static_cast<int>(now() - upstream.lastContactMs))},
+                 {"service_ms", std::to_string(static_cast<int>(upstream.serviceMs))},
+                 {"active", std::to_string(upstream.active)}});
     onStateChanged();
 }
 
@@ -545,6 +558,8 @@
 void LocalUpstreams::restoreDrained(const std::vector<DrainedUpstream> &drained)
 {
     for (const DrainedUpstream &former : drained) {
+        m_log.write(Event::UpstreamDrainRestored,
+                    {{"upstream", former.id}, {"started_at", std::to_string(former.startedAt)}, {"sequence", std::to_string(former.sequence)}});
         m_formerlyDrained[former.id] = former;
         const auto found = m_upstreams.find(former.id);
         if (found == m_upstreams.end()) {
