A departure is final for its start of the server, and stored before it is acknowledged

Cause: what outlives a process was the last known sequence, and any announcement with a higher one ended the drain.

A departure, or a response that says that the server leaves, now ends with a later start only. The same on related paths: the leader deleted a drain when a restarted node reported an old ping, and forgot all drains with its term or process; so drains are a part of the replicated state, an announcement of one is acknowledged once it is stored (503 after 0.8 s), and a new process starts no call before a current leader has named the stored drains. A departure of a server that the process does not know is recorded, with the start that it names.

--- a/packages/mesh/messages.cpp
+++ b/packages/mesh/messages.cpp
@@ -66,7 +66,7 @@
 }
 auto fields(Is<DrainedUpstream> auto &m)
 {
-    return std::tie(m.id, m.startedAt, m.sequence);
+    return std::tie(m.id, m.startedAt, m.sequence, m.isFinal);
 }
 auto fields(Is<StatusMessage> auto &m)
 {
@@ -108,6 +108,7 @@
                     m.directoryTerm,
                     m.upstreams,
                     m.drained,
+                    m.needsDrained,
                     m.demand,
                     m.isFullDemand,
                     m.service,
@@ -136,6 +137,7 @@
                     m.directory,
                     m.controlHosts,
                     m.shares,
+                    m.hasDrained,
                     m.drained,
                     m.needsFullDemand,
                     m.levels,
--- a/packages/mesh/messages.h
+++ b/packages/mesh/messages.h
@@ -94,12 +94,24 @@
     bool operator==(const UpstreamEntry &) const = default;
 };
 
-/// An upstream that announced its drain or departure. Newer announcements of it have a later start or a higher sequence.
+/// An upstream that announced its drain or departure.
 struct DrainedUpstream {
     std::string id;
     TimeMs startedAt = 0; ///< wall clock time
-    std::uint64_t sequence = 0; ///< of its last announcement
+    std::uint64_t sequence = 0; ///< of the announcement of the drain; a later one may end it
+    bool isFinal = false; ///< after a departure only a later start ends the drain
     bool operator==(const DrainedUpstream &) const = default;
+
+    /// True if an announcement is no newer than the drain, and so does not end it.
+    bool outdates(TimeMs announcedStart, std::uint64_t announcedSequence) const
+    {
+        return announcedStart != startedAt ? announcedStart < startedAt : isFinal || announcedSequence <= sequence;
+    }
+    /// True if every announcement that @p other outdates is outdated by this drain too.
+    bool covers(const DrainedUpstream &other) const
+    {
+        return id == other.id && outdates(other.startedAt, other.sequence) && (isFinal || !other.isFinal || startedAt > other.startedAt);
+    }
 };
 
 /// Sent by a node on its open peer links when the state of its upstream changes.
@@ -180,7 +192,8 @@
     std::uint64_t directoryVersion = 0;
     std::uint64_t directoryTerm = 0; ///< term of the leader that issued the directory
     std::vector<UpstreamEntry> upstreams;
-    std::vector<DrainedUpstream> drained; ///< on this host
+    std::vector<DrainedUpstream> drained; ///< on this host, without those that a leader has confirmed
+    bool needsDrained = false; ///< the process does not know the drains from before its start
     std::vector<TeamDemand> demand; ///< of the teams whose values changed since the previous report, or of all teams in use
     bool isFullDemand = true; ///< every team that is not in demand has no demand, tokens and share at the node
     std::string service; ///< of the upstream on this host
@@ -212,7 +225,8 @@
     std::string directory; ///< compressed DirectoryMessage; compressed once for all nodes
     std::vector<std::string> controlHosts; ///< peer addresses
     std::vector<TeamShare> shares; ///< that changed or contain tokens
-    std::vector<DrainedUpstream> drained; ///< on the host of the node, if its process has no configuration yet
+    bool hasDrained = false; ///< drained is complete; set for a node that needs it or reported drains
+    std::vector<DrainedUpstream> drained; ///< on the host of the node, as stored by a majority of the control hosts
     bool needsFullDemand = false; ///< the leader does not know the report before this one, and ignored the demand
     std::vector<ServiceLevel> levels;
     std::uint64_t account = 0; ///< token account to which the shares and their tokens belong
--- a/packages/meshcontrol/documentstore.cpp
+++ b/packages/meshcontrol/documentstore.cpp
@@ -72,6 +72,7 @@
     for (const std::string &digest : m_digests) {
         json["digests"].append(digest);
     }
+    json["drains"] = m_drains.save();
     return toText(json);
 }
 
@@ -83,7 +84,7 @@
     std::string encoded;
     if (!parseJson(text, json)
         || !JsonReader(json).read("version", loaded.m_version).read("index", loaded.m_index).read("document", encoded).read("digests", digests).ok()
-        || !decodeDocument(encoded, loaded.m_document)) {
+        || !decodeDocument(encoded, loaded.m_document) || (json.isMember("drains") && !loaded.m_drains.load(json["drains"]))) {
         return false;
     }
     loaded.m_digests.insert(digests.begin(), digests.end());
--- a/packages/meshcontrol/documentstore.h
+++ b/packages/meshcontrol/documentstore.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "drainstore.h"
+
 #include <cstdint>
 #include <json/json.h>
 #include <set>
@@ -21,8 +23,8 @@
 
 enum class SubmissionResult { Accepted, Conflict, OldVersion };
 
-/// The replicated state machine of the control hosts. Holds the current document and the digests of all accepted ones, so
-/// that resubmitting an accepted document is never rejected.
+/// The replicated state machine of the control hosts. Holds the current document, the digests of all accepted ones, so
+/// that resubmitting an accepted document is never rejected, and the drained upstreams.
 class DocumentStore
 {
 public:
@@ -47,6 +49,10 @@
     {
         return m_document;
     }
+    DrainStore &drains()
+    {
+        return m_drains;
+    }
     /// Serializes the state for load().
     std::string save() const;
     /// Replaces the state by a serialized one. Returns false and leaves the state unchanged if the text is malformed.
@@ -57,5 +63,6 @@
     std::uint64_t m_index = 0;
     std::string m_document;
     std::set<std::string> m_digests;
+    DrainStore m_drains;
 };
 }
--- a/packages/meshcontrol/fleetregistry.cpp
+++ b/packages/meshcontrol/fleetregistry.cpp
@@ -14,28 +14,9 @@
     const bool changed = node.lastReportAt == 0 || node.upstreams != message.upstreams;
     node.lastReportAt = now;
     node.upstreams = message.upstreams;
-    // A process that has just started reports neither, so the drains that its predecessor acknowledged remain.
-    auto &drainedOfHost = m_drained[message.peerAddress];
-    for (const UpstreamEntry &entry : message.upstreams) {
-        drainedOfHost.erase(entry.id);
-    }
-    for (const DrainedUpstream &drained : message.drained) {
-        drainedOfHost[drained.id] = drained;
-    }
     return changed;
 }
 
-std::vector<DrainedUpstream> FleetRegistry::drained(const std::string &peerAddress) const
-{
-    std::vector<DrainedUpstream> result;
-    if (const auto found = m_drained.find(peerAddress); found != m_drained.end()) {
-        for (const auto &[id, drained] : found->second) {
-            result.push_back(drained);
-        }
-    }
-    return result;
-}
-
 bool FleetRegistry::expire(TimeMs now)
 {
     return std::erase_if(m_nodes,
--- a/packages/meshcontrol/fleetregistry.h
+++ b/packages/meshcontrol/fleetregistry.h
@@ -29,8 +29,6 @@
     std::vector<UpstreamEntry> directory() const;
     /// True once reportCollectionMs have passed since the start of the term.
     bool isDirectoryComplete(TimeMs now) const;
-    /// Returns the upstreams on the host of a node that announced their drain or departure to any of its processes.
-    std::vector<DrainedUpstream> drained(const std::string &peerAddress) const;
     std::size_t nodeCount() const
     {
         return m_nodes.size();
@@ -43,6 +41,5 @@
     };
     TimeMs m_startedAt;
     std::map<std::string, Node> m_nodes; ///< by peer address
-    std::map<std::string, std::map<std::string, DrainedUpstream>> m_drained; ///< by peer address and id
 };
 }
--- a/packages/meshcontrol/meshcontrol.cpp
+++ b/packages/meshcontrol/meshcontrol.cpp
@@ -38,6 +38,7 @@
     std::shared_ptr<FrameLink> link;
     std::string peerAddress; ///< of a node; empty before its first report
     std::uint64_t configIndex = 0;
+    bool awaitsDrained = false; ///< the node reported drains, or asked for those from before its start
     DirectoryCursor directory;
     TimeMs reportedAt = 0;
 };
@@ -71,6 +72,7 @@
     void answerSubmission(const ExchangePtr &exchange, const Submission &submission, SubmissionResult result);
     void answerMetrics(const ExchangePtr &exchange);
     void loadTeamRates();
+    void storeDrains(const SyncMessage &message);
     void addDocument(SyncReplyMessage &reply, Session &session);
     void recordDocument();
     void addDirectory(SyncReplyMessage &reply, Session &session);
@@ -94,6 +96,7 @@
     TcpListener m_peerListener;
     std::map<std::uint64_t, Session> m_sessions;
     std::uint64_t m_lastLinkId = 0;
+    std::set<std::string> m_proposedDrains; ///< peer addresses of the nodes whose drains are being stored
     std::map<std::uint64_t, SubmissionResult> m_submissionResults; ///< by log index, for operators waiting on this host
     std::map<std::uint64_t, std::string> m_documents; ///< the present one and some before it, by log index
     std::map<std::uint64_t, std::string> m_compressedDocuments; ///< the present one, by SyncReplyMessage::documentBase
@@ -144,6 +147,12 @@
         return m_group.expectsReply(address);
     };
     m_group.onApply = [this](std::uint64_t index, const Json::Value &command) {
+        DrainReport drains;
+        if (command.isObject() && DrainReport::fromJson(command, drains)) {
+            m_store.drains().apply(index, drains);
+            schedulePush();
+            return;
+        }
         Submission submission;
         if (command.isNull() || !Submission::fromJson(command, submission)) {
             return;
@@ -184,6 +193,7 @@
         m_levels = LevelController();
         loadTeamRates();
         m_submissionResults.clear();
+        m_proposedDrains.clear();
         m_directoryHistory = DirectoryHistory();
         m_compressedDirectories.clear();
         if (leads) {
@@ -373,6 +383,7 @@
         session.configIndex = message.configIndex;
         session.directory.report(message.directoryVersion, message.directoryTerm);
         session.reportedAt = now;
+        session.awaitsDrained = message.needsDrained || !message.drained.empty();
         m_levels.report(message, now);
         if (m_leads) {
             needsFullDemand = !m_ledger.report(message, linkId, now);
@@ -382,6 +393,7 @@
             if (m_registry.report(message, now)) {
                 directoryChanged();
             }
+            storeDrains(message);
         }
     }
     if (now - m_sharesAllocatedAt > allocationPeriodMs) {
@@ -392,6 +404,22 @@
     session.link->send(FrameType::SyncReply, encode(reply));
 }
 
+// Proposes the drains of a report that are not stored yet. The node reports them until they are.
+void ControlHost::storeDrains(const SyncMessage &message)
+{
+    const std::string &node = message.peerAddress;
+    const DrainReport missing{node, m_store.drains().missing({node, message.drained})};
+    if (missing.drained.empty() || !m_proposedDrains.insert(node).second) {
+        return;
+    }
+    const auto error = m_group.replica().propose(missing.toJson(), [this, node](std::error_code /*outcome*/, std::uint64_t /*index*/) {
+        m_proposedDrains.erase(node);
+    });
+    if (error) {
+        m_proposedDrains.erase(node);
+    }
+}
+
 // Keeps the present document, since later ones are compressed by it.
 void ControlHost::recordDocument()
 {
@@ -472,15 +500,16 @@
     reply.configIndex = m_store.index();
     reply.directoryTerm = term;
     reply.directoryVersion = m_directoryVersion;
-    const bool hasNoConfig = session.configIndex == 0;
     if (session.configIndex < m_store.index()) {
         addDocument(reply, session);
     }
     if (!session.directory.isAt(m_directoryVersion, term)) {
         addDirectory(reply, session);
     }
-    if (hasNoConfig) {
-        reply.drained = m_registry.drained(session.peerAddress);
+    // Another leader may have stored further drains.
+    if (session.awaitsDrained && m_group.isCurrent()) {
+        reply.hasDrained = true;
+        reply.drained = m_store.drains().drained(session.peerAddress);
     }
     reply.controlHosts = m_group.hosts();
     reply.levels = m_levels.levels(m_loop.clock().now());
@@ -517,7 +546,7 @@
             continue;
         }
         const SyncReplyMessage reply = makeReply(session, 0);
-        if (reply.hasDocument || reply.hasDirectory) {
+        if (reply.hasDocument || reply.hasDirectory || reply.hasDrained) {
             session.link->send(FrameType::SyncReply, encode(reply));
         }
     }
--- a/packages/meshnode/localupstreams.cpp
+++ b/packages/meshnode/localupstreams.cpp
@@ -27,6 +27,8 @@
 constexpr double demandSmoothing = 0.4; // of the demand, one value for each report
 // Idle upstreams are removed after this time without an announcement or response.
 constexpr double removeAfterSilenceMs = 60'000;
+// Drains of earlier upstreams of this host that are kept.
+constexpr std::size_t maxFormerDrains = 8;
 // Limit for all responses that are being read, less than a third of the memory of the smallest process.
 constexpr std::size_t maxHeldResponseBytes = 48U << 20U;
 constexpr double msPerSecond = 1'000;
@@ -68,40 +70,43 @@
     return upstream.reachable ? UpstreamState::Ready : UpstreamState::Unreachable;
 }
 
-bool LocalUpstreams::announce(const Announcement &announcement)
+// A departure is recorded for an unknown upstream too: an announcement that was sent before it may arrive after it.
+bool LocalUpstreams::announceDeparture(const Announcement &announcement)
 {
-    if (announcement.kind == Announcement::Kind::Departure) {
-        const auto found = m_upstreams.find(announcement.id);
-        if (found == m_upstreams.end()) {
-            return true;
-        }
-        // Ignores a delayed departure of an earlier process with the same id.
-        if (announcement.startedAt != 0 && announcement.startedAt < found->second.info.startedAt) {
-            return false;
-        }
-        found->second.departed = true;
-        m_log.write(Event::UpstreamDraining, {{"upstream", announcement.id}, {"cause", "departure"}});
-        for (OfferedCall &call : found->second.queue.takeAll()) {
-            refuse(call, "upstream departed");
+    const auto found = m_upstreams.find(announcement.id);
+    if (found == m_upstreams.end()) {
+        if (!isFormerlyDrained(announcement)) {
+            recordFormerDrain({announcement.id, announcement.startedAt, 0, true});
+            onStateChanged();
         }
-        onStateChanged();
         return true;
     }
+    Upstream &upstream = found->second;
+    // Ignores a delayed departure of an earlier process with the same id.
+    if (announcement.startedAt != 0 && announcement.startedAt < upstream.info.startedAt) {
+        return false;
+    }
+    upstream.info.startedAt = std::max(upstream.info.startedAt, announcement.startedAt); // unknown after a health probe
+    upstream.departed = true;
+    m_log.write(Event::UpstreamDraining, {{"upstream", announcement.id}, {"cause", "departure"}});
+    for (OfferedCall &call : upstream.queue.takeAll()) {
+        refuse(call, "upstream departed");
+    }
+    onStateChanged();
+    return true;
+}
+
+bool LocalUpstreams::announce(const Announcement &announcement)
+{
+    if (announcement.kind == Announcement::Kind::Departure) {
+        return announceDeparture(announcement);
+    }
     if (announcement.service != m_identity.service && !m_identity.service.empty()) {
         return false;
     }
     if (isFormerlyDrained(announcement)) {
         return false;
     }
-    if (const auto former = m_formerlyDrained.find(announcement.id); former != m_formerlyDrained.end()) {
-        m_log.write(Event::UpstreamDrainEnded,
-                    {{"upstream", announcement.id},
-                     {"drained_started_at", std::to_string(former->second.startedAt)},
-                     {"drained_sequence", std::to_string(former->second.sequence)},
-                     {"started_at", std::to_string(announcement.startedAt)},
-                     {"sequence", std::to_string(announcement.sequence)}});
-        m_formerlyDrained.erase(former);
-    }
     Upstream &upstream = m_upstreams[announcement.id];
     const bool known = upstream.lastContactMs > 0;
     const bool restarted = known && upstream.info.startedAt > 0 && announcement.startedAt > upstream.info.startedAt;
@@ -121,6 +126,9 @@
         }
     }
     const UpstreamState before = known ? stateOf(upstream) : UpstreamState::Unreachable;
+    endFormerDrain(announcement);
+    const bool continuesDrain = known && !restarted && upstream.info.draining && announcement.draining;
+    upstream.drainSequence = continuesDrain ? upstream.drainSequence : announcement.sequence;
     const bool changed = !known || restarted || upstream.info.slots != announcement.slots || upstream.info.draining != announcement.draining;
     upstream.info = announcement;
     upstream.lastContactMs = now();
@@ -173,6 +181,9 @@
     if (!upstream) {
         return "unknown upstream";
     }
+    if (!m_knowsStoredDrains) {
+        return "former drains unknown";
+    }
     if (upstream->info.service != message.service) {
         return "upstream of another service";
     }
@@ -495,7 +506,14 @@
         sweepUpstream(entry->first, upstream);
         busy = busy || upstream.active > 0 || !upstream.queue.empty();
         const bool idle = upstream.active == 0 && upstream.queue.empty();
-        entry = idle && now() - upstream.lastContactMs > removeAfterSilenceMs ? m_upstreams.erase(entry) : std::next(entry);
+        if (idle && now() - upstream.lastContactMs > removeAfterSilenceMs) {
+            if (const auto drained = drainOf(entry->first, upstream)) {
+                recordFormerDrain(*drained);
+            }
+            entry = m_upstreams.erase(entry);
+        } else {
+            ++entry;
+        }
     }
     if (busy) {
         scheduleSweep();
@@ -535,43 +553,105 @@
 bool LocalUpstreams::isFormerlyDrained(const Announcement &announcement) const
 {
     const auto found = m_formerlyDrained.find(announcement.id);
-    if (found == m_formerlyDrained.end() || announcement.startedAt > found->second.startedAt) {
-        return false;
+    return found != m_formerlyDrained.end() && found->second.outdates(announcement.startedAt, announcement.sequence);
+}
+
+void LocalUpstreams::recordFormerDrain(const DrainedUpstream &drained)
+{
+    m_formerlyDrained[drained.id] = drained;
+    if (m_formerlyDrained.size() > maxFormerDrains) {
+        m_formerlyDrained.erase(std::min_element(m_formerlyDrained.begin(), m_formerlyDrained.end(), [](const auto &a, const auto &b) {
+            return a.second.startedAt < b.second.startedAt;
+        }));
     }
-    return announcement.startedAt < found->second.startedAt || announcement.sequence <= found->second.sequence;
 }
 
-std::vector<DrainedUpstream> LocalUpstreams::drained() const
+void LocalUpstreams::endFormerDrain(const Announcement &announcement)
+{
+    const auto former = m_formerlyDrained.find(announcement.id);
+    if (former == m_formerlyDrained.end()) {
+        return;
+    }
+    m_log.write(Event::UpstreamDrainEnded,
+                {{"upstream", announcement.id},
+                 {"drained_started_at", std::to_string(former->second.startedAt)},
+                 {"drained_sequence", std::to_string(former->second.sequence)},
+                 {"started_at", std::to_string(announcement.startedAt)},
+                 {"sequence", std::to_string(announcement.sequence)}});
+    m_formerlyDrained.erase(former);
+}
+
+std::optional<DrainedUpstream> LocalUpstreams::drainOf(const std::string &id, const Upstream &upstream)
+{
+    const bool isFinal = upstream.departed || upstream.leaving;
+    if (!isFinal && !upstream.info.draining) {
+        return std::nullopt;
+    }
+    return DrainedUpstream{id, upstream.info.startedAt, isFinal ? upstream.info.sequence : upstream.drainSequence, isFinal};
+}
+
+bool LocalUpstreams::isStored(const DrainedUpstream &drained) const
+{
+    return std::any_of(m_storedDrains.begin(), m_storedDrains.end(), [&drained](const DrainedUpstream &stored) {
+        return stored.covers(drained);
+    });
+}
+
+std::vector<DrainedUpstream> LocalUpstreams::unstoredDrains() const
 {
     std::vector<DrainedUpstream> result;
     for (const auto &[id, former] : m_formerlyDrained) {
-        result.push_back(former);
+        if (!isStored(former)) {
+            result.push_back(former);
+        }
     }
     for (const auto &[id, upstream] : m_upstreams) {
-        if (upstream.departed || upstream.leaving || upstream.info.draining) {
-            result.push_back({id, upstream.info.startedAt, upstream.info.sequence});
+        const auto drained = drainOf(id, upstream);
+        if (drained && !isStored(*drained)) {
+            result.push_back(*drained);
         }
     }
     return result;
 }
 
-void LocalUpstreams::restoreDrained(const std::vector<DrainedUpstream> &drained)
+bool LocalUpstreams::hasUnstoredDrain(const std::string &id) const
 {
-    for (const DrainedUpstream &former : drained) {
-        m_log.write(Event::UpstreamDrainRestored,
-                    {{"upstream", former.id}, {"started_at", std::to_string(former.startedAt)}, {"sequence", std::to_string(former.sequence)}});
-        m_formerlyDrained[former.id] = former;
-        const auto found = m_upstreams.find(former.id);
-        if (found == m_upstreams.end()) {
+    const std::vector<DrainedUpstream> unstored = unstoredDrains();
+    return std::any_of(unstored.begin(), unstored.end(), [&id](const DrainedUpstream &drained) {
+        return drained.id == id;
+    });
+}
+
+void LocalUpstreams::setStoredDrains(const std::vector<DrainedUpstream> &drained)
+{
+    const bool isFirst = !std::exchange(m_knowsStoredDrains, true);
+    m_storedDrains = drained;
+    for (const DrainedUpstream &stored : drained) {
+        const auto found = m_upstreams.find(stored.id);
+        const auto former = m_formerlyDrained.find(stored.id);
+        if (found != m_upstreams.end() ? !stored.outdates(found->second.info.startedAt, found->second.info.sequence)
+                                       : former != m_formerlyDrained.end() && former->second.covers(stored)) {
             continue;
         }
-        if (isFormerlyDrained(found->second.info)) {
-            found->second.departed = true;
-            onStateChanged();
+        const auto known = found == m_upstreams.end() ? std::nullopt : drainOf(stored.id, found->second);
+        if (known && known->covers(stored)) {
+            continue;
+        }
+        m_log.write(Event::UpstreamDrainRestored,
+                    {{"upstream", stored.id}, {"started_at", std::to_string(stored.startedAt)}, {"sequence", std::to_string(stored.sequence)}});
+        if (found == m_upstreams.end()) {
+            recordFormerDrain(stored);
         } else {
-            m_formerlyDrained.erase(former.id);
+            found->second.departed = found->second.departed || stored.isFinal;
+            found->second.info.draining = true;
+            found->second.info.sequence = stored.sequence;
+            found->second.drainSequence = stored.sequence;
+            onStateChanged();
         }
     }
+    if (isFirst) {
+        onStateChanged();
+    }
 }
 
 std::vector<UpstreamEntry> LocalUpstreams::entries() const
--- a/packages/meshnode/localupstreams.h
+++ b/packages/meshnode/localupstreams.h
@@ -11,6 +11,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -54,11 +55,18 @@
     void drain();
 
     std::vector<UpstreamEntry> entries() const;
-    /// Returns the upstreams that announced their drain or departure, also to earlier processes of this node.
-    std::vector<DrainedUpstream> drained() const;
-    /// Adds upstreams that drained or departed before the start of this process. They are used again only after a newer
-    /// announcement.
-    void restoreDrained(const std::vector<DrainedUpstream> &drained);
+    /// Returns the drains and departures that the leader has not confirmed as stored.
+    std::vector<DrainedUpstream> unstoredDrains() const;
+    /// Returns true if a drain or departure of the upstream is not stored yet, so that a restart of this process forgets it.
+    bool hasUnstoredDrain(const std::string &id) const;
+    /// Returns true once the drains from before the start of this process are known. No call is started before.
+    bool knowsStoredDrains() const
+    {
+        return m_knowsStoredDrains;
+    }
+    /// Sets the stored drains of this host, those from before the start of this process included. These upstreams are used
+    /// again only after a newer announcement.
+    void setStoredDrains(const std::vector<DrainedUpstream> &drained);
     /// Updates the smoothed demand with the calls since the previous measurement; to be called before each report to the
     /// leader.
     void measureDemand();
@@ -70,6 +78,7 @@
         Announcement info;
         double lastContactMs = 0; ///< time of the last announcement or response
         double retryAtMs = 0; ///< earliest time of the next trial call to an unreachable upstream
+        std::uint64_t drainSequence = 0; ///< of the first announcement of the present drain
         bool departed = false;
         bool leaving = false; ///< according to its responses
         bool reachable = true;
@@ -88,8 +97,14 @@
     {
         return m_loop.clock().preciseMs();
     }
-    /// Returns true if the upstream drained before the start of this process and the announcement is not newer than that.
+    bool announceDeparture(const Announcement &announcement);
+    /// Returns true if the upstream drained earlier, such as before the start of this process, and the announcement is not
+    /// newer than that.
     bool isFormerlyDrained(const Announcement &announcement) const;
+    void recordFormerDrain(const DrainedUpstream &drained);
+    void endFormerDrain(const Announcement &announcement);
+    static std::optional<DrainedUpstream> drainOf(const std::string &id, const Upstream &upstream);
+    bool isStored(const DrainedUpstream &drained) const;
     int limitOf(const Upstream &upstream) const;
     /// Slots that the upstream can use at its named rate.
     int usableSlots(const Upstream &upstream) const;
@@ -120,7 +135,9 @@
     std::shared_ptr<const FleetConfig> m_config;
     ResponseMemory m_responseMemory;
     std::map<std::string, Upstream> m_upstreams;
-    std::map<std::string, DrainedUpstream> m_formerlyDrained; ///< before the start of this process, by id
+    std::map<std::string, DrainedUpstream> m_formerlyDrained; ///< that are not in m_upstreams, or announced nothing newer; by id
+    std::vector<DrainedUpstream> m_storedDrains; ///< by the control hosts
+    bool m_knowsStoredDrains = false;
     double m_demandMeasuredMs = 0;
     bool m_draining = false;
     bool m_sweepScheduled = false;
--- a/packages/meshnode/meshnode.cpp
+++ b/packages/meshnode/meshnode.cpp
@@ -26,9 +26,16 @@
 constexpr int maxProbes = 4;
 constexpr TimeMs probePeriodMs = 300;
 constexpr std::size_t maxDocumentBytes = 128U << 20U;
+// Announcements are answered within this time; the upstream gives up after a second.
+constexpr TimeMs acknowledgementTimeoutMs = 800;
 // State changes within this time are sent in one message.
 constexpr TimeMs statusDelayMs = 5;
 
+void acknowledge(const std::shared_ptr<PortExchange> &exchange)
+{
+    exchange->respond(responseHead(200, {{"Content-Type", "application/json"}}), "{}");
+}
+
 class Node
 {
 public:
@@ -48,6 +55,8 @@
     void applyDocument(const SyncReplyMessage &reply);
     void applyDirectory(const SyncReplyMessage &reply);
     void handleAnnouncement(const std::shared_ptr<PortExchange> &exchange);
+    void holdAcknowledgement(const std::shared_ptr<PortExchange> &exchange, const std::string &upstreamId);
+    void acknowledgeStoredDrains();
     void answerReadiness(const std::shared_ptr<PortExchange> &exchange);
     void answerMetrics(const std::shared_ptr<PortExchange> &exchange);
     void scheduleStatus();
@@ -58,6 +67,12 @@
     void checkDrained();
     bool isReady() const;
 
+    /// An announcement of a drain that is not stored yet.
+    struct HeldAcknowledgement {
+        std::shared_ptr<PortExchange> exchange;
+        std::string upstreamId;
+    };
+
     MeshSettings m_settings;
     const ProtocolAdapter &m_adapter;
     SettingsReader m_reloadSettings;
@@ -70,6 +85,7 @@
     LeaderClient m_leader;
     HealthProbe m_probe;
     int m_probesLeft = maxProbes;
+    std::vector<HeldAcknowledgement> m_heldAcknowledgements;
     HttpPort m_callerPort;
     HttpPort m_readinessPort;
     HttpPort m_announcementPort;
@@ -314,7 +330,8 @@
     message.directoryVersion = m_directoryVersion;
     message.directoryTerm = m_directoryTerm;
     message.upstreams = m_upstreams.entries();
-    message.drained = m_upstreams.drained();
+    message.drained = m_upstreams.unstoredDrains();
+    message.needsDrained = !m_upstreams.knowsStoredDrains();
     message.service = m_settings.service;
     m_upstreams.measureDemand();
     message.load = m_upstreams.load();
@@ -326,7 +343,10 @@
 
 void Node::applySyncReply(const SyncReplyMessage &reply, double sentMs)
 {
-    m_upstreams.restoreDrained(reply.drained); // before the document, which lets this node probe its upstream
+    if (reply.hasDrained) {
+        m_upstreams.setStoredDrains(reply.drained); // before the document, which lets this node probe its upstream
+        acknowledgeStoredDrains();
+    }
     if (reply.hasDocument) {
         applyDocument(reply);
     }
@@ -453,7 +473,38 @@
     if (!m_upstreams.announce(*announcement)) {
         m_log.write(Event::MalformedRequest, {{"source", "announcement"}, {"upstream", announcement->id}, {"cause", "outdated or from another service"}});
     }
-    exchange->respond(responseHead(200, {{"Content-Type", "application/json"}}), "{}");
+    if (m_upstreams.hasUnstoredDrain(announcement->id)) {
+        holdAcknowledgement(exchange, announcement->id);
+        return;
+    }
+    acknowledge(exchange);
+}
+
+// An acknowledged drain outlives this process, so it is acknowledged once it is stored by a majority of the control hosts.
+void Node::holdAcknowledgement(const std::shared_ptr<PortExchange> &exchange, const std::string &upstreamId)
+{
+    m_heldAcknowledgements.push_back({exchange, upstreamId});
+    m_leader.reportNow();
+    m_loop.after(acknowledgementTimeoutMs, [this, exchange] {
+        if (!exchange->isFinished()) {
+            m_metrics.count("drains_unacknowledged_total");
+            exchange->respond(responseHead(503), {});
+        }
+        std::erase_if(m_heldAcknowledgements, [&exchange](const HeldAcknowledgement &held) {
+            return held.exchange == exchange;
+        });
+    });
+}
+
+void Node::acknowledgeStoredDrains()
+{
+    std::erase_if(m_heldAcknowledgements, [this](const HeldAcknowledgement &held) {
+        if (m_upstreams.hasUnstoredDrain(held.upstreamId)) {
+            return false;
+        }
+        acknowledge(held.exchange);
+        return true;
+    });
 }
 
 bool Node::isReady() const
--- a/tests/meshcontrol/meshcontroltest.cpp
+++ b/tests/meshcontrol/meshcontroltest.cpp
@@ -125,21 +125,50 @@
     BOOST_TEST(cursor.advance(8, 3, true) == 0U);
 }
 
-// Guards against a drain that is forgotten when the process that acknowledged it ends.
-BOOST_AUTO_TEST_CASE(drainOutlivesTheProcessThatAcknowledgedIt)
+// Guards against a drain that is forgotten when the process that acknowledged it ends, the leader changes, or an announcement from
+// before the drain is reported.
+BOOST_AUTO_TEST_CASE(drainOutlivesTheProcessesThatKnowIt)
 {
-    FleetRegistry registry(1'000);
-    SyncMessage message = nodeReport("a");
-    message.upstreams.clear();
-    message.drained = {{"i-a", 100, 7}};
-    registry.report(message, 1'100);
-    registry.report(nodeReport("b"), 1'100);
-    message.drained.clear();
-    registry.report(message, 1'200); // of a new process
-    BOOST_TEST((registry.drained("a") == std::vector<DrainedUpstream>{{"i-a", 100, 7}}));
-    BOOST_TEST(registry.drained("b").empty());
-    registry.report(nodeReport("a"), 1'300); // announced again
-    BOOST_TEST(registry.drained("a").empty());
+    const DrainReport drain{"a", {{"i-a", 100, 7, false}}};
+    const DrainReport departure{"a", {{"i-a", 100, 7, true}}};
+    DocumentStore leader;
+    BOOST_TEST(leader.drains().missing(drain).size() == 1U);
+    DrainReport command;
+    BOOST_REQUIRE(DrainReport::fromJson(drain.toJson(), command));
+    Submission other;
+    BOOST_TEST(!Submission::fromJson(drain.toJson(), other));
+    leader.drains().apply(1, command);
+    BOOST_TEST(leader.drains().missing(drain).empty());
+    BOOST_TEST(leader.drains().missing(departure).size() == 1U);
+    leader.drains().apply(2, departure);
+    BOOST_TEST(leader.drains().missing({"a", {{"i-a", 100, 9, false}, {"i-a", 50, 20, true}}}).empty());
+    BOOST_TEST(leader.drains().missing({"a", {{"i-a", 200, 1, false}}}).size() == 1U);
+    BOOST_TEST(leader.drains().drained("b").empty());
+    leader.apply(3, submission(1, 0, "text"));
+    DocumentStore next;
+    BOOST_REQUIRE(next.load(leader.save()));
+    BOOST_TEST((next.drains().drained("a") == departure.drained));
+    BOOST_TEST(next.document() == "text");
+    DocumentStore reversed;
+    reversed.drains().apply(1, departure);
+    reversed.drains().apply(2, drain);
+    BOOST_TEST((reversed.drains().drained("a") == departure.drained));
+}
+
+// Guards against a store of drains that grows with each release of the upstreams, and one that forgets the newest.
+BOOST_AUTO_TEST_CASE(storedDrainsAreBounded)
+{
+    DrainStore store;
+    for (int i = 0; i < 5'000; ++i) {
+        store.apply(static_cast<std::uint64_t>(i), {std::to_string(i), {{"i-" + std::to_string(i), i, 1, true}}});
+    }
+    for (int i = 0; i < 100; ++i) {
+        store.apply(static_cast<std::uint64_t>(5'000 + i), {"a", {{"i-" + std::to_string(i), i, 1, true}}});
+    }
+    BOOST_TEST(store.save().size() < 5'000U);
+    BOOST_TEST(store.drained("4999").size() == 1U);
+    BOOST_TEST(store.drained("a").size() < 10U);
+    BOOST_TEST(store.drained("a").back().id == "i-99");
 }
 
 // Guards against accepting two submissions with the same base version.
--- a/tests/meshnode/callbrokertest.cpp
+++ b/tests/meshnode/callbrokertest.cpp
@@ -87,6 +87,7 @@
         BOOST_REQUIRE(!port.listen("127.0.0.1:0"));
         BOOST_REQUIRE(!server.listen("127.0.0.1:0"));
         upstreams.onStateChanged = [] {};
+        upstreams.setStoredDrains({});
         Announcement announcement;
         announcement.id = "i-1";
         announcement.service = "stock";
--- a/tests/meshnode/upstreamtest.cpp
+++ b/tests/meshnode/upstreamtest.cpp
@@ -261,6 +261,7 @@
         port.onStateChanged = [this] {
             ++changes;
         };
+        port.setStoredDrains({});
     }
     Announcement heartbeat(const std::string &address, std::uint64_t sequence = 1, TimeMs startedAt = 100) const
     {
@@ -273,6 +274,14 @@
         announcement.startedAt = startedAt;
         return announcement;
     }
+    Announcement departure(TimeMs startedAt) const
+    {
+        Announcement announcement;
+        announcement.kind = Announcement::Kind::Departure;
+        announcement.id = "i-1";
+        announcement.startedAt = startedAt;
+        return announcement;
+    }
     CallMessage call(const std::string &requestId, bool idempotent = true) const
     {
         CallMessage message;
@@ -429,35 +438,100 @@
 // good or an old announcement of it arrives late.
 BOOST_AUTO_TEST_CASE(upstreamThatLeftIsNotUsedAgainAfterARestartOfTheNode)
 {
-    std::vector<DrainedUpstream> reported;
+    std::vector<DrainedUpstream> stored;
     {
         Fixture fixture;
         fixture.port.announce(fixture.heartbeat("127.0.0.1:1", 7, 100));
-        BOOST_TEST(fixture.port.drained().empty());
-        Announcement departure = fixture.heartbeat("127.0.0.1:1", 8, 100);
-        departure.kind = Announcement::Kind::Departure;
-        fixture.port.announce(departure);
-        reported = fixture.port.drained();
-        BOOST_REQUIRE(reported.size() == 1U);
+        BOOST_TEST(fixture.port.unstoredDrains().empty());
+        fixture.port.announce(fixture.departure(100));
+        stored = fixture.port.unstoredDrains();
+        BOOST_REQUIRE(stored.size() == 1U);
+        fixture.port.setStoredDrains(stored);
+        BOOST_TEST(fixture.port.unstoredDrains().empty());
+    }
+    // The announcement with sequence 8 was sent before the departure and not received in time.
+    for (const std::uint64_t late : {6, 7, 8}) {
+        Fixture fixture;
+        ScriptedUpstream upstream(fixture.loop, {response("a", "A")}, ScriptedUpstream::AfterAnswer::Keep);
+        // It may arrive before the leader's answer and after it.
+        BOOST_TEST(fixture.port.announce(fixture.heartbeat(upstream.address(), late, 100)));
+        fixture.port.setStoredDrains(stored);
+        BOOST_TEST(fixture.run("a").reason == "upstream drains");
+        fixture.port.announce(fixture.heartbeat(upstream.address(), late + 1, 100));
+        BOOST_TEST(fixture.run("b").reason == "upstream drains");
+        BOOST_TEST(upstream.received.empty());
+        Fixture restored;
+        restored.port.setStoredDrains(stored);
+        BOOST_TEST(!restored.port.announce(restored.heartbeat(upstream.address(), late, 100)));
+        BOOST_TEST(restored.port.entries().empty());
     }
-    Fixture fixture;
-    ScriptedUpstream upstream(fixture.loop, {response("a", "A")}, ScriptedUpstream::AfterAnswer::Keep);
-    const std::string id = fixture.heartbeat("127.0.0.1:1").id;
-    // A late announcement may arrive before the leader's answer.
-    BOOST_TEST(fixture.port.announce(fixture.heartbeat(upstream.address(), 7, 100)));
-    fixture.port.restoreDrained(reported);
-    BOOST_TEST(fixture.run("a").reason == "upstream drains");
-    BOOST_TEST(!fixture.port.announce(fixture.heartbeat(upstream.address(), 6, 100)));
-    BOOST_TEST(fixture.run("b").reason == "upstream drains");
-    BOOST_TEST(upstream.received.empty());
     Fixture probing;
-    probing.port.restoreDrained(reported);
-    probing.port.addProbedUpstream(id, upstream.address(), 10);
+    probing.port.setStoredDrains(stored);
+    const std::string id = probing.heartbeat("127.0.0.1:1").id;
+    probing.port.addProbedUpstream(id, "127.0.0.1:1", 10);
     BOOST_TEST(probing.port.entries().empty());
-    BOOST_TEST((probing.port.drained() == reported));
-    BOOST_TEST(probing.port.announce(probing.heartbeat(upstream.address(), 1, 200)));
+    BOOST_TEST(probing.port.announce(probing.heartbeat("127.0.0.1:1", 1, 200)));
     BOOST_TEST(probing.port.entries().size() == 1U);
-    BOOST_TEST(probing.port.drained().empty());
+    BOOST_TEST(probing.port.unstoredDrains().empty());
+}
+
+// Guards against a drain that a late announcement ends after a restart of the node, and one that no announcement can end.
+BOOST_AUTO_TEST_CASE(announcedDrainEndsWithALaterAnnouncementOnly)
+{
+    std::vector<DrainedUpstream> stored;
+    {
+        Fixture fixture;
+        Announcement draining = fixture.heartbeat("127.0.0.1:1", 8, 100);
+        draining.draining = true;
+        fixture.port.announce(fixture.heartbeat("127.0.0.1:1", 7, 100));
+        fixture.port.announce(draining);
+        stored = fixture.port.unstoredDrains();
+        BOOST_REQUIRE(stored.size() == 1U);
+        fixture.port.setStoredDrains(stored);
+        // The announcements that follow need not be stored.
+        draining.sequence = 9;
+        fixture.port.announce(draining);
+        BOOST_TEST(fixture.port.unstoredDrains().empty());
+    }
+    Fixture fixture;
+    fixture.port.announce(fixture.heartbeat("127.0.0.1:1", 7, 100));
+    fixture.port.setStoredDrains(stored);
+    BOOST_TEST((fixture.port.entries().front().state == UpstreamState::Draining));
+    BOOST_TEST(!fixture.port.announce(fixture.heartbeat("127.0.0.1:1", 8, 100)));
+    BOOST_TEST((fixture.port.entries().front().state == UpstreamState::Draining));
+    BOOST_TEST(fixture.port.announce(fixture.heartbeat("127.0.0.1:1", 9, 100)));
+    BOOST_TEST((fixture.port.entries().front().state == UpstreamState::Ready));
+}
+
+// Guards against calls to an upstream whose drain a former process acknowledged, before the leader has told this one of it.
+BOOST_AUTO_TEST_CASE(noCallIsStartedBeforeTheFormerDrainsAreKnown)
+{
+    Fixture fixture;
+    LocalUpstreams port(fixture.loop, fixture.adapter, fixture.log, fixture.metrics, {"north", "stock", "10.0.0.1:7000", {}});
+    port.onStateChanged = [] {};
+    port.announce(fixture.heartbeat("127.0.0.1:1"));
+    std::string reason;
+    port.offer(fixture.call("a"), 0, [&](const ReplyMessage &reply) {
+        reason = reply.reason;
+    });
+    BOOST_TEST(reason == "former drains unknown");
+}
+
+// Guards against a departure that is forgotten since the process knew nothing of the upstream, or no start time of it.
+BOOST_AUTO_TEST_CASE(departureOfAnUnknownUpstreamIsKept)
+{
+    Fixture restarted;
+    BOOST_TEST(restarted.port.announce(restarted.departure(100)));
+    BOOST_TEST(restarted.port.hasUnstoredDrain("i-1"));
+    BOOST_TEST(!restarted.port.announce(restarted.heartbeat("127.0.0.1:1", 8, 100)));
+    BOOST_TEST(restarted.port.entries().empty());
+    BOOST_TEST(restarted.port.announce(restarted.heartbeat("127.0.0.1:1", 1, 200)));
+    Fixture probing;
+    probing.port.addProbedUpstream("i-1", "127.0.0.1:1", 10);
+    BOOST_TEST(probing.port.announce(probing.departure(100)));
+    Fixture next;
+    next.port.setStoredDrains(probing.port.unstoredDrains());
+    BOOST_TEST(!next.port.announce(next.heartbeat("127.0.0.1:1", 8, 100)));
 }
 
 // Guards against a delayed announcement of an earlier process that replaces the present one at the same address.
