Silence of an upstream ends no call

Cause: an upstream without a ping or response for 1 s counted as silent, though pings come every 1.5 s, and its idempotent calls were broken off.

Silence now only marks an upstream as unreachable for new calls, after 2.5 intervals of its announcements.

--- a/packages/meshnode/localupstreams.cpp
+++ b/packages/meshnode/localupstreams.cpp
@@ -12,11 +12,15 @@
 constexpr double usedSlotShare = 0.95;
 constexpr int defaultSlots = 8; // for upstreams that announce none
 constexpr double sweepPeriodMs = 20;
+constexpr double maxSweepDelayMs = 100;
 // Connections within one host are usually established within a few ms.
 constexpr double connectTimeoutMs = 300;
-// An upstream is marked unreachable after no response for this time and for a multiple of its mean service time.
+// An upstream is marked unreachable after no response for this time and for multiples of its mean service time and of the interval of
+// its announcements. Its calls go on, since an upstream that is silent may be at work.
 constexpr double minSilenceMs = 1'000;
 constexpr double silenceFactor = 5;
+constexpr double missedAnnouncements = 2.5;
+constexpr double announcePeriodDecay = 0.1; // of a longer interval, with each shorter one
 // Interval between trial calls to an unreachable upstream.
 constexpr double trialPauseMs = 400;
 // An upstream responds at the deadline by itself. This time is allowed for the transfer of that response.
@@ -131,6 +135,11 @@
     upstream.drainSequence = continuesDrain ? upstream.drainSequence : announcement.sequence;
     const bool changed = !known || restarted || upstream.info.slots != announcement.slots || upstream.info.draining != announcement.draining;
     upstream.info = announcement;
+    if (known && !restarted) {
+        const double period = now() - upstream.lastAnnouncedMs;
+        upstream.announcePeriodMs = std::max(period, upstream.announcePeriodMs - (upstream.announcePeriodMs - period) * announcePeriodDecay);
+    }
+    upstream.lastAnnouncedMs = now();
     upstream.lastContactMs = now();
     if (restarted) {
         upstream.departed = false;
@@ -492,6 +501,7 @@
         return;
     }
     m_sweepScheduled = true;
+    m_sweepDueMs = now() + sweepPeriodMs;
     m_loop.after(static_cast<TimeMs>(sweepPeriodMs), [this] {
         m_sweepScheduled = false;
         sweep();
@@ -500,10 +510,12 @@
 
 void LocalUpstreams::sweep()
 {
+    // After a late turn of the loop, answers may wait in the sockets: the silence is this process's own.
+    const bool isLate = now() - m_sweepDueMs > maxSweepDelayMs;
     bool busy = false;
     for (auto entry = m_upstreams.begin(); entry != m_upstreams.end();) {
         Upstream &upstream = entry->second;
-        sweepUpstream(entry->first, upstream);
+        sweepUpstream(entry->first, upstream, isLate);
         busy = busy || upstream.active > 0 || !upstream.queue.empty();
         const bool idle = upstream.active == 0 && upstream.queue.empty();
         if (idle && now() - upstream.lastContactMs > removeAfterSilenceMs) {
@@ -520,7 +532,7 @@
     }
 }
 
-void LocalUpstreams::sweepUpstream(const std::string &id, Upstream &upstream)
+void LocalUpstreams::sweepUpstream(const std::string &id, Upstream &upstream, bool isLate)
 {
     const double at = now();
     for (OfferedCall &call : upstream.queue.takeExpired(at)) {
@@ -529,8 +541,8 @@
     if (upstream.pacer.isLimited()) {
         startQueuedCalls(id, upstream);
     }
-    const double silence = std::max(minSilenceMs, upstream.serviceMs * silenceFactor);
-    const bool silent = at - upstream.lastContactMs > silence;
+    const double maxSilence = maxSilenceMs(upstream);
+    const bool silent = !isLate && at - upstream.lastContactMs > maxSilence;
     const auto connections = upstream.connections;
     for (const auto &connection : connections) {
         if (!connection->call()) {
@@ -540,16 +552,18 @@
             connection->abandon("connection to the upstream timed out");
         } else if (at > connection->call()->deadlineMs + deadlineGraceMs) {
             connection->abandon("time ran out at the upstream");
-        } else if (silent && connection->awaitsFirstByte() && at - connection->sentAtMs() > silence) {
+        } else if (silent && connection->awaitsFirstByte() && at - connection->sentAtMs() > maxSilence) {
             upstream.retryAtMs = at + trialPauseMs;
             setReachable(id, upstream, false, "no answer");
-            if (connection->call()->message.idempotent) {
-                connection->abandon("upstream silent");
-            }
         }
     }
 }
 
+double LocalUpstreams::maxSilenceMs(const Upstream &upstream)
+{
+    return std::max({minSilenceMs, upstream.serviceMs * silenceFactor, upstream.announcePeriodMs * missedAnnouncements});
+}
+
 bool LocalUpstreams::isFormerlyDrained(const Announcement &announcement) const
 {
     const auto found = m_formerlyDrained.find(announcement.id);
--- a/packages/meshnode/localupstreams.h
+++ b/packages/meshnode/localupstreams.h
@@ -77,6 +77,8 @@
     struct Upstream {
         Announcement info;
         double lastContactMs = 0; ///< time of the last announcement or response
+        double lastAnnouncedMs = 0;
+        double announcePeriodMs = 0; ///< longest recent interval between two announcements
         double retryAtMs = 0; ///< earliest time of the next trial call to an unreachable upstream
         std::uint64_t drainSequence = 0; ///< of the first announcement of the present drain
         bool departed = false;
@@ -124,7 +126,9 @@
     void setReachable(const std::string &id, Upstream &upstream, bool reachable, const std::string &reason);
     void scheduleSweep();
     void sweep();
-    void sweepUpstream(const std::string &id, Upstream &upstream);
+    void sweepUpstream(const std::string &id, Upstream &upstream, bool isLate);
+    /// Returns the time without an announcement or response after which an upstream is marked unreachable.
+    static double maxSilenceMs(const Upstream &upstream);
     void deliver(const OfferedCall &call, ReplyMessage reply);
 
     EventLoop &m_loop;
@@ -140,6 +144,7 @@
     bool m_knowsStoredDrains = false;
     double m_demandMeasuredMs = 0;
     bool m_draining = false;
+    double m_sweepDueMs = 0;
     bool m_sweepScheduled = false;
 };
 }
--- a/tests/meshnode/upstreamtest.cpp
+++ b/tests/meshnode/upstreamtest.cpp
@@ -949,3 +949,133 @@
     fixture.port.announce(fixture.heartbeat(upstream.address(), 2));
     BOOST_TEST(fixture.run("b").reason == "upstream drains");
 }
+
+// Guards against breaking off an idempotent call at an upstream that works on it for longer than it usually does, and has sent
+// neither an announcement nor another response meanwhile.
+BOOST_AUTO_TEST_CASE(callAtASilentUpstreamIsNotBrokenOff)
+{
+    constexpr TimeMs workMs = 1'900;
+    Fixture fixture;
+    bool isFirst = true;
+    HookedUpstream upstream(fixture.loop, [&](TcpStream &stream, std::size_t, std::size_t) {
+        if (std::exchange(isFirst, false)) {
+            stream.write(response("a", "whole"));
+        } else {
+            fixture.loop.after(workMs, [&stream] {
+                stream.write(response("b", "whole"));
+            });
+        }
+    });
+    fixture.port.announce(fixture.heartbeat(upstream.address()));
+    BOOST_TEST(fixture.run("a").body == "whole");
+    ReplyMessage result;
+    CallMessage call = fixture.call("b");
+    call.timeLeftMs = 5'000;
+    fixture.port.offer(std::move(call), 0, [&](ReplyMessage reply) {
+        result = std::move(reply);
+        fixture.loop.stop();
+    });
+    const TimerId guard = fixture.loop.after(testTimeoutMs, [&] {
+        fixture.loop.stop();
+    });
+    fixture.loop.run();
+    fixture.loop.cancel(guard);
+    BOOST_TEST((result.outcome == CallOutcome::Answered), result.reason);
+    BOOST_TEST(result.body == "whole");
+}
+
+// Guards against calling an upstream silent between two announcements, and against one that is never called so.
+BOOST_AUTO_TEST_CASE(upstreamIsUnreachableOnlyAfterMissedAnnouncements)
+{
+    constexpr TimeMs announcePeriodMs = 600;
+    Fixture fixture;
+    HookedUpstream upstream(fixture.loop, [](TcpStream &, std::size_t, std::size_t) {});
+    std::uint64_t sequence = 0;
+    const auto announce = [&] {
+        fixture.port.announce(fixture.heartbeat(upstream.address(), ++sequence));
+    };
+    announce();
+    const TimerId announcements = fixture.loop.every(announcePeriodMs, announce);
+    fixture.loop.after(2 * announcePeriodMs + 20, [&] {
+        CallMessage call = fixture.call("a");
+        call.timeLeftMs = 8'000;
+        fixture.port.offer(std::move(call), 0, [](const ReplyMessage &) {});
+        fixture.loop.cancel(announcements);
+    });
+    const auto stateAfter = [&](TimeMs delayMs) {
+        fixture.loop.after(delayMs, [&] {
+            fixture.loop.stop();
+        });
+        fixture.loop.run();
+        return fixture.port.entries().front().state;
+    };
+    BOOST_TEST((stateAfter(2 * announcePeriodMs + 1'300) == UpstreamState::Ready));
+    BOOST_TEST((stateAfter(800) == UpstreamState::Unreachable));
+}
+
+// Guards against taking a late turn of this process's own loop for the silence of an upstream whose response waits in the socket.
+BOOST_AUTO_TEST_CASE(ownDelayIsNoSilenceOfTheUpstream)
+{
+    Fixture fixture;
+    HookedUpstream upstream(fixture.loop, [&](TcpStream &stream, std::size_t, std::size_t) {
+        fixture.loop.after(30, [&stream] {
+            stream.write(response("a", "A"));
+            ::usleep(1'200'000);
+        });
+    });
+    fixture.port.announce(fixture.heartbeat(upstream.address()));
+    int unreachable = 0; // changes to this state
+    fixture.port.onStateChanged = [&] {
+        unreachable += fixture.port.entries().front().state == UpstreamState::Unreachable ? 1 : 0;
+    };
+    CallMessage call = fixture.call("a");
+    call.timeLeftMs = 8'000;
+    fixture.port.offer(std::move(call), 0, [&](const ReplyMessage &reply) {
+        BOOST_TEST(reply.reason == "");
+        fixture.loop.stop();
+    });
+    fixture.loop.run();
+    BOOST_TEST(unreachable == 0);
+}
+
+// Guards against breaking off a request whose upstream reads the body slowly.
+BOOST_AUTO_TEST_CASE(uploadToASlowReaderIsNotBrokenOff)
+{
+    constexpr TimeMs pauseMs = 2'000;
+    Fixture fixture;
+    std::size_t received = 0;
+    constexpr std::size_t bodyBytes = 24U << 20U;
+    std::shared_ptr<TcpStream> accepted;
+    TcpListener listener(fixture.loop, [&](std::shared_ptr<TcpStream> stream) {
+        accepted = std::move(stream);
+        accepted->onData = [&](std::string_view data) {
+            const bool first = received == 0;
+            received += data.size();
+            if (first) {
+                accepted->pauseReading(true);
+                fixture.loop.after(pauseMs, [&] {
+                    accepted->pauseReading(false);
+                });
+            }
+            if (received > bodyBytes) {
+                accepted->write(response("a", "A"));
+            }
+        };
+    });
+    BOOST_REQUIRE(!listener.listen("127.0.0.1:0"));
+    fixture.port.announce(fixture.heartbeat(listener.address()));
+    CallMessage call = fixture.call("a", false);
+    call.body.assign(bodyBytes, 'x');
+    call.timeLeftMs = 8'000;
+    ReplyMessage result;
+    fixture.port.offer(std::move(call), 0, [&](ReplyMessage reply) {
+        result = std::move(reply);
+        fixture.loop.stop();
+    });
+    const TimerId guard = fixture.loop.after(testTimeoutMs, [&] {
+        fixture.loop.stop();
+    });
+    fixture.loop.run();
+    fixture.loop.cancel(guard);
+    BOOST_TEST((result.outcome == CallOutcome::Answered), result.reason);
+}
