A server that reads a body slowly keeps its connection

A request with a large body failed as "connection to the upstream closed" when its server read nothing for 800 ms.

Cause: TCP_USER_TIMEOUT also ends connections whose peer answers all window probes. It was set so that a dead upstream is noticed early, but upstreams run on the host of their node, where a process that ends resets its connections, and the time limit of a call ends the rest.

--- a/packages/meshnode/upstreamconnection.cpp
+++ b/packages/meshnode/upstreamconnection.cpp
@@ -13,9 +13,6 @@
 constexpr double defaultIdleMs = 4'000;
 // Subtracted from the upstream's idle timeout, since it might close the connection while a call is being sent.
 constexpr double idleMarginMs = 1'500;
-// A connection within one host fails if sent bytes are unacknowledged for this time. The default of the operating system
-// is several minutes.
-constexpr TimeMs unacknowledgedTimeoutMs = 800;
 // A connection on which more calls were declined is not reused.
 constexpr std::size_t maxDeclinedCalls = 64;
 constexpr int firstClientError = 400;
@@ -63,7 +60,6 @@
     if (!stream) {
         return nullptr;
     }
-    stream->breakAfterSilence(unacknowledgedTimeoutMs);
     std::shared_ptr<UpstreamConnection> connection(new UpstreamConnection(loop, adapter, memory, std::move(stream)));
     connection->start();
     return connection;
--- a/packages/net/tcp.cpp
+++ b/packages/net/tcp.cpp
@@ -273,9 +273,10 @@
     updateWatch();
 }
 
-void TcpStream::breakAfterSilence(TimeMs timeoutMs)
+void TcpStream::pauseReading(bool paused)
 {
-    setOption(m_descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(timeoutMs));
+    m_paused = paused;
+    updateWatch();
 }
 
 TcpListener::TcpListener(EventLoop &loop, AcceptHandler handler)
--- a/packages/net/tcp.h
+++ b/packages/net/tcp.h
@@ -63,9 +63,6 @@
     }
     /// Stops or resumes reading; while reading is paused a close of the peer is not seen.
     void pauseReading(bool paused);
-    /// The connection breaks if sent bytes stay unacknowledged for @p timeoutMs.
-    void breakAfterSilence(TimeMs timeoutMs);
-
 private:
     TcpStream(EventLoop &loop, int descriptor, bool connected);
     void updateWatch();
