Responses that callers read slowly are not cut

Callers that read a large answer slowly got a part of it: after the idle limit, since a connection without an open request counted as idle, 1 s after the end of a closing connection, or when a stopping process ended.

Idle time counts from the last byte sent. A closing connection is given up after 5 s without progress, or 1 s after its last byte, and a port with unread responses is not done.

--- a/packages/net/httpport.cpp
+++ b/packages/net/httpport.cpp
@@ -98,10 +98,15 @@
 
     void checkTimes(const HttpPortTimes &times)
     {
-        const TimeMs quiet = now() - m_activeAt;
         if (!m_exchanges.empty()) {
             return;
         }
+        // A client that still reads a response is not idle.
+        if (m_stream->sent() != m_sentAtCheck) {
+            m_sentAtCheck = m_stream->sent();
+            m_activeAt = now();
+        }
+        const TimeMs quiet = now() - m_activeAt;
         if (m_reader.state() == HttpReader::State::Idle ? quiet > times.idleMs : now() - m_startedAt > times.headerMs + times.idleMs) {
             finish();
         }
@@ -109,10 +114,11 @@
 
     std::size_t pending() const
     {
-        return m_exchanges.size() + (m_reader.state() == HttpReader::State::Reading ? 1 : 0);
+        return m_exchanges.size() + (m_reader.state() == HttpReader::State::Reading ? 1 : 0) + (m_stream->unsent() > 0 ? 1 : 0);
     }
     void finish()
     {
+        m_port.addLastWrites(m_stream);
         m_stream->closeAfterWrites();
         remove();
     }
@@ -224,6 +230,7 @@
     std::string m_held; ///< bytes behind the last request that may be read now
     std::uint64_t m_requests = 0; ///< that were read whole
     TimeMs m_activeAt;
+    std::uint64_t m_sentAtCheck = 0; ///< bytes sent at the last check of the idle time
     TimeMs m_startedAt = 0; ///< first byte of the request that is being read
     bool m_lastRequest = false; ///< the request that is being read is the last one
     bool m_continued = false; ///< 100 (Continue) was sent for the request that is being read
@@ -298,7 +305,19 @@
     for (const auto &connection : m_connections) {
         count += connection->pending();
     }
-    return count;
+    return count + static_cast<std::size_t>(std::count_if(m_lastWrites.begin(), m_lastWrites.end(), [](const auto &entry) {
+        const auto stream = entry.lock();
+        return stream && stream->unsent() > 0;
+    }));
+}
+
+void HttpPort::addLastWrites(const std::shared_ptr<TcpStream> &stream)
+{
+    std::erase_if(m_lastWrites, [](const auto &entry) {
+        const auto open = entry.lock();
+        return !open || open->unsent() == 0;
+    });
+    m_lastWrites.push_back(stream);
 }
 
 void HttpPort::checkTimes()
--- a/packages/net/httpport.h
+++ b/packages/net/httpport.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace Yuccagrade
 {
@@ -94,7 +95,7 @@
     {
         return m_connections.size();
     }
-    /// Requests that were read in part or whole and not answered.
+    /// Requests that were read in part or whole and not answered, and connections whose client has not read all responses.
     std::size_t pending() const;
 
 private:
@@ -102,6 +103,7 @@
     void checkTimes();
     void addUnsent(std::size_t bytes);
     void boundUnsent();
+    void addLastWrites(const std::shared_ptr<TcpStream> &stream);
 
     EventLoop &m_loop;
     Handler m_handler;
@@ -111,6 +113,7 @@
     std::set<std::shared_ptr<HttpPortConnection>> m_connections;
     TimerId m_timer = 0;
     TimerId m_boundTimer = 0;
+    std::vector<std::weak_ptr<TcpStream>> m_lastWrites; ///< streams that close once their responses are sent
     std::size_t m_unsentAtMost = 0; ///< upper bound of the unsent bytes of all connections
     bool m_closing = false;
 };
--- a/packages/net/tcp.cpp
+++ b/packages/net/tcp.cpp
@@ -25,6 +25,9 @@
 constexpr int backlogLength = 1024;
 // A peer that got a last answer may take this long to close its side.
 constexpr TimeMs lingerMs = 1'000;
+// A peer that still reads its last answer makes progress within this time.
+constexpr TimeMs lingerStallMs = 5'000;
+constexpr TimeMs lingerCheckMs = 250;
 
 void setOption(int descriptor, int level, int name, int value)
 {
@@ -244,6 +247,8 @@
     ::close(m_descriptor);
     m_descriptor = -1;
     m_connected = false;
+    m_out.clear();
+    m_outOffset = 0;
     m_loop.cancel(m_lingerTimer);
     onData = nullptr;
     onConnected = nullptr;
@@ -259,18 +264,33 @@
     m_paused = false;
     onData = nullptr;
     onClosed = nullptr;
-    // The timer keeps the stream alive until the peer has closed.
-    m_lingerTimer = m_loop.after(lingerMs, [self = shared_from_this()] {
-        self->close();
-    });
+    m_lingerProgressAt = m_loop.clock().now();
+    m_lingerSent = m_sent;
+    scheduleLingerCheck();
     flush();
     updateWatch();
 }
 
-void TcpStream::pauseReading(bool paused)
+// The timer keeps the stream alive until the peer has closed.
+void TcpStream::scheduleLingerCheck()
 {
-    m_paused = paused;
-    updateWatch();
+    m_lingerTimer = m_loop.after(lingerCheckMs, [self = shared_from_this()] {
+        self->checkLinger();
+    });
+}
+
+void TcpStream::checkLinger()
+{
+    const TimeMs now = m_loop.clock().now();
+    if (m_sent != m_lingerSent) {
+        m_lingerSent = m_sent;
+        m_lingerProgressAt = now;
+    }
+    if (now - m_lingerProgressAt >= (unsent() > 0 ? lingerStallMs : lingerMs)) {
+        close();
+        return;
+    }
+    scheduleLingerCheck();
 }
 
 void TcpStream::pauseReading(bool paused)
--- a/packages/net/tcp.h
+++ b/packages/net/tcp.h
@@ -36,7 +36,8 @@
     /// Closes at once and drops unsent bytes.
     void close();
     /// Writes what is queued, ends the sending direction and drops what the peer still sends. Closing with unread bytes
-    /// would reset the connection and could destroy the answer on its way.
+    /// would reset the connection and could destroy the answer on its way. A peer that reads slowly gets all of it; one that
+    /// reads nothing for 5 s is given up.
     void closeAfterWrites();
     bool isOpen() const
     {
@@ -71,6 +72,8 @@
     void readAll();
     void flush();
     void releaseSent();
+    void scheduleLingerCheck();
+    void checkLinger();
     void fail(bool clean);
 
     EventLoop &m_loop;
@@ -85,6 +88,8 @@
     std::size_t m_outOffset = 0;
     std::uint64_t m_sent = 0;
     TimerId m_lingerTimer = 0;
+    TimeMs m_lingerProgressAt = 0;
+    std::uint64_t m_lingerSent = 0; ///< m_sent at m_lingerProgressAt
 };
 
 /// A listening socket.
--- a/tests/net/porttest.cpp
+++ b/tests/net/porttest.cpp
@@ -352,6 +352,71 @@
     BOOST_TEST(client.received.find("X-Id: 7") != std::string::npos);
 }
 
+// Guards against cutting a response that its client reads slowly: its connection is not idle, and neither the end of the
+// connection nor that of the process waits for less than the whole response.
+BOOST_AUTO_TEST_CASE(slowlyReadResponseIsNotCut)
+{
+    constexpr std::size_t bodyBytes = 20U << 20U;
+    constexpr TimeMs readPeriodMs = 12;
+    for (const std::string &fields : {std::string(), std::string("Connection: close\r\n")}) {
+        EventLoop loop;
+        HttpPort port(loop, [&](const std::shared_ptr<PortExchange> &exchange) {
+            exchange->respond(responseHead(200), std::string(bodyBytes, 'x'));
+        });
+        port.setLimits({}, {3'000, 300});
+        BOOST_REQUIRE(!port.listen("127.0.0.1:0"));
+        TestClient client(loop, port.address(), "GET / HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n");
+        std::size_t received = 0;
+        client.stream->onData = [&](std::string_view data) {
+            received += data.size();
+            client.stream->pauseReading(true);
+        };
+        const TimerId reading = loop.every(readPeriodMs, [&] {
+            client.stream->pauseReading(false);
+        });
+        bool wasPending = true;
+        loop.after(2'000, [&] {
+            wasPending = port.pending() > 0;
+        });
+        client.onChange = [&] {
+            loop.stop();
+        };
+        const TimerId guard = loop.after(2 * testBoundMs, [&] {
+            loop.stop();
+        });
+        loop.run();
+        loop.cancel(reading);
+        loop.cancel(guard);
+        BOOST_TEST(wasPending);
+        BOOST_TEST(client.closed);
+        BOOST_TEST(received > bodyBytes);
+        BOOST_TEST(port.pending() == 0U);
+    }
+}
+
+// Guards against keeping connections for clients that never read their response.
+BOOST_AUTO_TEST_CASE(unreadResponseDoesNotKeepItsConnection)
+{
+    EventLoop loop;
+    HttpPort port(loop, [&](const std::shared_ptr<PortExchange> &exchange) {
+        exchange->respond(responseHead(200), std::string(20U << 20U, 'x'));
+    });
+    port.setLimits({}, {3'000, 300});
+    BOOST_REQUIRE(!port.listen("127.0.0.1:0"));
+    TestClient client(loop, port.address(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    client.stream->pauseReading(true);
+    const TimerId probe = loop.every(50, [&] {
+        if (port.connections() == 0 && port.pending() == 0 && loop.clock().now() > 0 && client.stream->sent() > 0) {
+            loop.stop();
+        }
+    });
+    loop.after(100, [&] {
+        BOOST_TEST(port.pending() > 0U);
+    });
+    runBounded(loop);
+    loop.cancel(probe);
+}
+
 // Guards against a drained listener that resets requests already sent.
 BOOST_AUTO_TEST_CASE(stoppedPortAnswersWhatItHasRead)
 {
