A peer that reads a large frame is not given up, and a late check judges no link

Calls ended as "link to the node of the upstream ended" while a large body was on its way: the ping behind it was answered after more than 1 s. The same threatened all links of a process whose own loop was late, since timers run before sockets are read. A stopping process also left with frames that it had not sent.

Progress of sending counts as a sign of life, a check that is over 400 ms late judges no link, and a node waits for what it has queued for its peers.

peerThatReadsALargeFrameIsNotGivenUp failed before (9.5 of 31 MB read) and passes now. The late check has no test of its own.

--- a/packages/mesh/framelink.cpp
+++ b/packages/mesh/framelink.cpp
@@ -23,6 +23,7 @@
 // Time limit for establishing a link: several round trips within a region.
 constexpr TimeMs connectTimeoutMs = 400;
 constexpr TimeMs checkPeriodMs = 100;
+constexpr TimeMs maxCheckDelayMs = 400;
 // Delay before reconnecting to a failed address; doubles up to the maximum.
 constexpr TimeMs minRetryDelayMs = 100;
 constexpr TimeMs maxRetryDelayMs = 200;
@@ -157,6 +158,11 @@
 void FrameLink::checkLiveness(bool answerExpected)
 {
     const TimeMs now = m_clock.now();
+    // A peer that still reads a large frame reads the ping behind it later.
+    if (isConnected() && unsent() > 0 && m_stream->sent() != m_sentAtCheck) {
+        m_lastReceivedAt = now;
+    }
+    m_sentAtCheck = m_stream->sent();
     // A ping stays pending after the calls for which it was sent have ended: their time limits may be shorter than the time
     // after which a dead link is detected.
     if (!answerExpected && m_pingedAt == 0) {
@@ -287,8 +293,24 @@
     }
 }
 
+std::size_t LinkPool::unsent() const
+{
+    std::size_t sum = 0;
+    for (const auto &[address, link] : m_links) {
+        sum += link->unsent();
+    }
+    return sum;
+}
+
 void LinkPool::check()
 {
+    // After a late turn of the loop, answers may wait in the sockets: the silence is this process's own.
+    const TimeMs now = m_loop.clock().now();
+    const bool isLate = m_checkedAt > 0 && now - m_checkedAt > maxCheckDelayMs;
+    m_checkedAt = now;
+    if (isLate) {
+        return;
+    }
     const auto links = m_links;
     for (const auto &[address, link] : links) {
         link->checkLiveness(isBusy(address) || !link->isConnected());
--- a/packages/mesh/framelink.h
+++ b/packages/mesh/framelink.h
@@ -76,6 +76,7 @@
     std::unique_ptr<StreamDecompressor> m_decompressor;
     std::string m_input;
     TimeMs m_lastReceivedAt;
+    std::uint64_t m_sentAtCheck = 0; ///< bytes sent at the last liveness check
     TimeMs m_pingedAt = 0;
     bool m_wasConnected = false;
 };
@@ -105,6 +106,8 @@
 
     /// Returns the link to @p address, which may still be connecting; null if it cannot be opened or failed recently.
     FrameLink *link(const std::string &address);
+    /// Returns the number of bytes queued for sending on all links.
+    std::size_t unsent() const;
     /// True if the link to the address failed and was not established again since, or has an unanswered ping.
     bool isFailing(const std::string &address) const;
 
@@ -122,6 +125,7 @@
 
     EventLoop &m_loop;
     TimerId m_timer;
+    TimeMs m_checkedAt = 0;
     std::string m_sourceIp;
     std::map<std::string, std::shared_ptr<FrameLink>, std::less<>> m_links;
     std::map<std::string, Failure, std::less<>> m_failures;
--- a/packages/meshnode/meshnode.cpp
+++ b/packages/meshnode/meshnode.cpp
@@ -65,6 +65,7 @@
     void probeUpstream();
     void drain();
     void checkDrained();
+    std::size_t unsentToPeers() const;
     bool isReady() const;
 
     /// An announcement of a drain that is not stored yet.
@@ -571,6 +572,15 @@
     });
 }
 
+std::size_t Node::unsentToPeers() const
+{
+    std::size_t sum = m_links.unsent();
+    for (const auto &[id, link] : m_peerLinks) {
+        sum += link->unsent();
+    }
+    return sum;
+}
+
 void Node::checkDrained()
 {
     const TimeMs elapsed = m_loop.clock().now() - m_drainingSince;
@@ -581,7 +591,7 @@
         m_listening = false;
         m_callerPort.stopListening();
     }
-    const bool idle = m_callerPort.pending() == 0 && m_upstreams.pending() == 0;
+    const bool idle = m_callerPort.pending() == 0 && m_upstreams.pending() == 0 && unsentToPeers() == 0;
     if (idle || elapsed > m_settings.fleetLimits.stopMs - exitMarginMs) {
         m_log.write(Event::DrainFinished, {{"pending", std::to_string(m_broker.pending())}});
         m_loop.stop();
--- a/tests/mesh/meshtest.cpp
+++ b/tests/mesh/meshtest.cpp
@@ -324,6 +324,51 @@
     BOOST_TEST(closed);
 }
 
+// Guards against giving up a peer that is still reading a large frame, and so reads the ping behind it late.
+BOOST_AUTO_TEST_CASE(peerThatReadsALargeFrameIsNotGivenUp)
+{
+    constexpr std::size_t frameBytes = 30U << 20U;
+    constexpr TimeMs readPeriodMs = 5;
+    EventLoop loop;
+    std::shared_ptr<TcpStream> accepted;
+    std::size_t received = 0;
+    TcpListener slow(loop, [&](std::shared_ptr<TcpStream> stream) {
+        accepted = std::move(stream);
+        accepted->onData = [&](std::string_view data) {
+            received += data.size();
+            accepted->pauseReading(received < frameBytes / 2);
+            if (received > frameBytes) {
+                loop.stop();
+            }
+        };
+    });
+    BOOST_REQUIRE(!slow.listen("127.0.0.1:0"));
+    LinkPool pool(loop, {});
+    pool.onFrame = [](const std::string &, FrameType, std::string_view) {};
+    pool.isBusy = [](const std::string &) {
+        return true;
+    };
+    bool closed = false;
+    pool.onClosed = [&](const std::string &, bool) {
+        closed = true;
+        loop.stop();
+    };
+    FrameLink *link = pool.link(slow.address());
+    BOOST_REQUIRE(link);
+    link->send(FrameType::Call, std::string(frameBytes, 'x'));
+    loop.every(readPeriodMs, [&] {
+        if (accepted) {
+            accepted->pauseReading(false);
+        }
+    });
+    loop.after(15'000, [&] {
+        loop.stop();
+    });
+    loop.run();
+    BOOST_TEST(!closed);
+    BOOST_TEST(received > frameBytes);
+}
+
 // Guards against a settings page that differs from the options that the program accepts.
 BOOST_AUTO_TEST_CASE(settingsPageMatchesTheTable)
 {
