Framing of a response is limited to 1 MiB beyond its body

A response ends as malformed once its framing exceeds its body by 1 MiB. What a node of 0.4 cores serves meanwhile was not measured.

--- a/packages/net/httpreader.cpp
+++ b/packages/net/httpreader.cpp
@@ -13,6 +13,8 @@
 // Framing bytes (chunk sizes, extensions, trailers) of a response that are accepted for each byte of its body, beyond the
 // limit of the header. A chunk of one byte takes five.
 constexpr std::size_t maxFramingRatio = 16;
+// Bodies with more framing than this are mostly made of it, and cost a hundred times the processor time of others.
+constexpr std::size_t maxFramingBytes = 1U << 20U;
 constexpr std::array<std::string_view, 8>
     connectionFields{"connection", "keep-alive", "proxy-connection", "te", "trailer", "upgrade", "transfer-encoding", "content-length"};
 
@@ -286,10 +288,11 @@
         m_framingBytes += used - std::min(used, m_message.body.size() - bodyBytes);
     }
     const auto error = HTTP_PARSER_ERRNO(&m_parser);
-    const std::size_t maxFramingBytes = m_limits.maxHeaderBytes + m_message.body.size() * maxFramingRatio;
+    const std::size_t allowedFramingBytes =
+        m_limits.maxHeaderBytes + std::min(m_message.body.size() * maxFramingRatio, maxFramingBytes + m_message.body.size());
     if (m_state == State::Reading && std::max(m_headerBytes, m_unfinishedFramingBytes) > m_limits.maxHeaderBytes) {
         m_state = State::HeaderTooLarge;
-    } else if (m_state == State::Reading && m_kind == Kind::Response && m_framingBytes > maxFramingBytes) {
+    } else if (m_state == State::Reading && m_kind == Kind::Response && m_framingBytes > allowedFramingBytes) {
         m_state = State::Malformed;
     } else if (m_state == State::Reading && error != HPE_OK) {
         m_state = error == HPE_HEADER_OVERFLOW ? State::HeaderTooLarge : State::Malformed;
