One bound for all that a process holds for its peers

A guard in nodes and control hosts adds up all uses, every 50 ms, and gives up the largest part of the largest use above two fifths of memory-mb (new option, from the platform's settings). A request that is refused for it was not passed on: 503. Reading pauses behind 32 unanswered requests with 64 KiB more.

The tests use functions that are new, so they were not run before.

--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -25,6 +25,7 @@
     MalformedRequest = 110,
     PeerRejected = 111,
     PeerUnreachable = 112,
+    MemoryLimitReached = 113,
     LeaderElected = 200,
     LeaderLost = 201,
     EntryCommitted = 202,
--- a/packages/mesh/framelink.cpp
+++ b/packages/mesh/framelink.cpp
@@ -196,6 +196,27 @@
     }
 }
 
+std::size_t heldByLinks(const std::vector<std::shared_ptr<FrameLink>> &links)
+{
+    std::size_t sum = 0;
+    for (const auto &link : links) {
+        sum += link->heldBytes();
+    }
+    return sum;
+}
+
+bool closeLargestLink(const std::vector<std::shared_ptr<FrameLink>> &links)
+{
+    const auto largest = std::max_element(links.begin(), links.end(), [](const auto &a, const auto &b) {
+        return a->heldBytes() < b->heldBytes();
+    });
+    if (largest == links.end() || (*largest)->heldBytes() == 0) {
+        return false;
+    }
+    (*largest)->fail();
+    return true;
+}
+
 LinkPool::LinkPool(EventLoop &loop, std::string sourceIp)
     : m_loop(loop)
     , m_timer(loop.every(checkPeriodMs,
@@ -293,13 +314,13 @@
     }
 }
 
-std::size_t LinkPool::unsent() const
+std::vector<std::shared_ptr<FrameLink>> LinkPool::links() const
 {
-    std::size_t sum = 0;
+    std::vector<std::shared_ptr<FrameLink>> result;
     for (const auto &[address, link] : m_links) {
-        sum += link->unsent();
+        result.push_back(link);
     }
-    return sum;
+    return result;
 }
 
 void LinkPool::check()
--- a/packages/mesh/framelink.h
+++ b/packages/mesh/framelink.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace Yuccagrade::Mesh
 {
@@ -54,6 +55,11 @@
     {
         return m_stream ? m_stream->unsent() : 0;
     }
+    /// Returns the memory held for frames that are being read or sent.
+    std::size_t heldBytes() const
+    {
+        return m_input.size() + unsent();
+    }
     /// Sends a ping if a peer that owes an answer has sent nothing for some time, and closes the link if nothing follows.
     void checkLiveness(bool answerExpected);
     /// True while a ping is unanswered.
@@ -62,13 +68,15 @@
         return m_pingedAt > 0;
     }
 
+    /// Closes the link as if the connection had ended.
+    void fail();
+
 private:
     FrameLink(std::shared_ptr<TcpStream> stream, const Clock &clock);
     void start();
     void connected();
     void read(std::string_view data);
     bool readFrame(unsigned char kind, std::string_view payload);
-    void fail();
 
     std::shared_ptr<TcpStream> m_stream;
     const Clock &m_clock;
@@ -81,6 +89,11 @@
     bool m_wasConnected = false;
 };
 
+/// Returns the memory held for all @p links.
+std::size_t heldByLinks(const std::vector<std::shared_ptr<FrameLink>> &links);
+/// Closes the link that holds most. Returns false if none holds anything.
+bool closeLargestLink(const std::vector<std::shared_ptr<FrameLink>> &links);
+
 /// Outgoing links by address, opened on first use and reopened in the background after a failure.
 class LinkPool
 {
@@ -106,8 +119,7 @@
 
     /// Returns the link to @p address, which may still be connecting; null if it cannot be opened or failed recently.
     FrameLink *link(const std::string &address);
-    /// Returns the number of bytes queued for sending on all links.
-    std::size_t unsent() const;
+    std::vector<std::shared_ptr<FrameLink>> links() const;
     /// True if the link to the address failed and was not established again since, or has an unanswered ping.
     bool isFailing(const std::string &address) const;
 
--- a/packages/mesh/meshsettings.cpp
+++ b/packages/mesh/meshsettings.cpp
@@ -17,6 +17,7 @@
 constexpr std::array<std::string_view, 2> hostRoleNames{"node", "control"};
 constexpr std::array sections{SectionKind{.name = "", .required = true}};
 constexpr double msPerSecond = 1'000;
+constexpr std::size_t bytesPerMb = 1'000'000;
 constexpr double maxSeconds = 3'600;
 
 constexpr std::array options{
@@ -36,6 +37,13 @@
     Option{.name = "data-folder", .type = File, .help = "Control: folder of the durable state."},
     Option{.name = "found-group", .type = Choice, .choices = "true|false", .fallback = "false", .help = "Control: all hosts start for the first time."},
     Option{.name = "seeds", .type = AddressList, .required = true, .help = "Addresses of control hosts; their port is replaced by peer-port."},
+    Option{.name = "memory-mb",
+           .type = Integer,
+           .unit = "MB",
+           .minimum = 32,
+           .maximum = 1'000'000,
+           .fallback = "160",
+           .help = "Memory that the process may use."},
     Option{.name = "tolerated-hosts", .type = Integer, .minimum = 0, .maximum = 3, .fallback = "1", .help = "Control hosts whose loss is survived."},
     Option{.name = "withdrawal-s",
            .type = Real,
@@ -99,6 +107,7 @@
     for (const std::string &seed : section.list("seeds")) {
         settings.seeds.push_back(addressOf(hostOf(seed), section.integer("peer-port")));
     }
+    settings.memoryBytes = static_cast<std::size_t>(section.integer("memory-mb")) * bytesPerMb;
     settings.fleetLimits.toleratedHosts = static_cast<int>(section.integer("tolerated-hosts"));
     settings.fleetLimits.withdrawalMs = milliseconds(section, "withdrawal-s");
     settings.fleetLimits.stopMs = milliseconds(section, "stop-s");
--- a/packages/mesh/meshsettings.h
+++ b/packages/mesh/meshsettings.h
@@ -46,7 +46,15 @@
     std::string dataFolder; ///< control only
     bool bootstrapGroup = false; ///< control only: create the consensus group, as all hosts start for the first time
     std::vector<std::string> seeds; ///< peer addresses of control hosts
+    std::size_t memoryBytes = 0; ///< that the process may use
     FleetLimits fleetLimits;
+
+    /// Memory that may be held for callers, upstreams and other processes together. The rest covers the process itself and
+    /// what arrives between two checks.
+    std::size_t maxHeldBytes() const
+    {
+        return memoryBytes / 5 * 2;
+    }
 };
 
 /// Describes the options of the settings file, which has no sections.
--- a/packages/meshcontrol/meshcontrol.cpp
+++ b/packages/meshcontrol/meshcontrol.cpp
@@ -8,6 +8,7 @@
 #include "documentstore.h"
 #include "fleetregistry.h"
 #include "levelcontroller.h"
+#include "mesh/memoryguard.h"
 #include "net/httpport.h"
 #include "tokenledger.h"
 
@@ -73,6 +74,8 @@
     void answerMetrics(const ExchangePtr &exchange);
     void loadTeamRates();
     void storeDrains(const SyncMessage &message);
+    void guardMemory();
+    std::vector<std::shared_ptr<FrameLink>> peerLinks() const;
     void addDocument(SyncReplyMessage &reply, Session &session);
     void recordDocument();
     void addDirectory(SyncReplyMessage &reply, Session &session);
@@ -95,6 +98,7 @@
     HttpPort m_metricsPort;
     TcpListener m_peerListener;
     std::map<std::uint64_t, Session> m_sessions;
+    MemoryGuard m_memoryGuard;
     std::uint64_t m_lastLinkId = 0;
     std::set<std::string> m_proposedDrains; ///< peer addresses of the nodes whose drains are being stored
     std::map<std::uint64_t, SubmissionResult> m_submissionResults; ///< by log index, for operators waiting on this host
@@ -130,10 +134,13 @@
                     [this](const ExchangePtr &exchange) {
                         answerMetrics(exchange);
                     })
-    , m_peerListener(m_loop, [this](std::shared_ptr<TcpStream> stream) {
-        acceptPeer(std::move(stream));
-    })
+    , m_peerListener(m_loop,
+                     [this](std::shared_ptr<TcpStream> stream) {
+                         acceptPeer(std::move(stream));
+                     })
+    , m_memoryGuard(m_loop, m_log, m_metrics, settings.maxHeldBytes())
 {
+    guardMemory();
     m_links.onFrame = [this](const std::string &, FrameType type, std::string_view payload) {
         handleControlLinkFrame(type, payload);
     };
@@ -204,6 +211,42 @@
     };
 }
 
+void ControlHost::guardMemory()
+{
+    m_memoryGuard.add({"requests",
+                       [this] {
+                           return m_operatorPort.heldRequestBytes();
+                       },
+                       [this] {
+                           return m_operatorPort.refuseLargestRequest();
+                       }});
+    m_memoryGuard.add({"unread responses",
+                       [this] {
+                           return m_operatorPort.unreadResponseBytes();
+                       },
+                       [this] {
+                           return m_operatorPort.closeLargestUnread();
+                       }});
+    m_memoryGuard.add({"peers",
+                       [this] {
+                           return heldByLinks(peerLinks());
+                       },
+                       [this] {
+                           return closeLargestLink(peerLinks());
+                       }});
+}
+
+std::vector<std::shared_ptr<FrameLink>> ControlHost::peerLinks() const
+{
+    std::vector<std::shared_ptr<FrameLink>> links = m_links.links();
+    for (const auto &[id, session] : m_sessions) {
+        if (session.link) {
+            links.push_back(session.link);
+        }
+    }
+    return links;
+}
+
 bool ControlHost::open()
 {
     const auto listen = [this](auto &port, const std::string &address) {
@@ -655,6 +698,7 @@
 
 void ControlHost::answerMetrics(const ExchangePtr &exchange)
 {
+    m_memoryGuard.updateMetrics();
     m_metrics.gauge("leads", m_leads ? 1 : 0);
     m_metrics.gauge("config_version", static_cast<double>(m_store.version()));
     m_metrics.gauge("majority_contact_age_ms", m_group.contactAgeMs());
--- a/packages/meshnode/callbrokerdenials.cpp
+++ b/packages/meshnode/callbrokerdenials.cpp
@@ -11,6 +11,7 @@
 namespace
 {
 constexpr int badRequest = 400;
+constexpr int unavailable = 503;
 // A request that may be denied waits up to this time for the confirmation of the configuration, a round trip to the
 // leader. Many such requests share one confirmation.
 constexpr double maxConfirmationWaitMs = 400;
@@ -110,7 +111,10 @@
 {
     const CallerRequest caller = m_adapter.readRequest(request.message);
     m_metrics.count("requests_unreadable_total", "status=\"" + std::to_string(request.status) + "\",defect=\"" + std::string(request.defect) + '"');
-    m_log.write(request.status == badRequest ? Event::RequestMalformed : Event::RequestTooLarge,
+    const bool noMemory = request.status == unavailable;
+    m_log.write(request.status == badRequest ? Event::RequestMalformed
+                    : noMemory               ? Event::RequestShed
+                                             : Event::RequestTooLarge,
                 {{"request", caller.requestId},
                  {"host", caller.host},
                  {"target", request.message.target},
@@ -124,6 +128,6 @@
     if (!m_config && request.status != badRequest) {
         return m_adapter.renderRefusal(caller.requestId, 503, isolatedRetryAfterMs);
     }
-    return m_adapter.renderRefusal(caller.requestId, request.status, -1);
+    return m_adapter.renderRefusal(caller.requestId, request.status, noMemory ? retryAfterMs() : -1);
 }
 }
--- a/packages/meshnode/localupstreams.cpp
+++ b/packages/meshnode/localupstreams.cpp
@@ -403,23 +403,38 @@
     deliver(call, std::move(reply));
 }
 
-// Abandons the largest responses, so that those of other calls can be read.
-void LocalUpstreams::boundResponses()
+bool LocalUpstreams::abandonLargestResponse()
 {
-    while (m_responseMemory.heldBytes > maxHeldResponseBytes) {
-        std::shared_ptr<UpstreamConnection> largest;
-        for (const auto &[id, upstream] : m_upstreams) {
-            for (const auto &connection : upstream.connections) {
-                if (connection->heldBytes() > (largest ? largest->heldBytes() : 0)) {
-                    largest = connection;
-                }
+    std::shared_ptr<UpstreamConnection> largest;
+    for (const auto &[id, upstream] : m_upstreams) {
+        for (const auto &connection : upstream.connections) {
+            if (connection->heldBytes() > (largest ? largest->heldBytes() : 0)) {
+                largest = connection;
             }
         }
-        if (!largest) {
-            return;
-        }
+    }
+    if (largest) {
         largest->abandon("responses exceed the memory limit");
     }
+    return largest != nullptr;
+}
+
+// Abandons the largest responses, so that those of other calls can be read.
+void LocalUpstreams::boundResponses()
+{
+    while (m_responseMemory.heldBytes > maxHeldResponseBytes && abandonLargestResponse()) { }
+}
+
+std::size_t LocalUpstreams::heldCallBytes() const
+{
+    std::size_t sum = 0;
+    for (const auto &[id, upstream] : m_upstreams) {
+        sum += upstream.queue.bodyBytes();
+        for (const auto &connection : upstream.connections) {
+            sum += connection->unsent();
+        }
+    }
+    return sum;
 }
 
 void LocalUpstreams::startQueuedCalls(const std::string &id, Upstream &upstream)
--- a/packages/meshnode/localupstreams.h
+++ b/packages/meshnode/localupstreams.h
@@ -72,6 +72,15 @@
     void measureDemand();
     LoadReport load() const;
     std::size_t pending() const;
+    /// Returns the memory of responses that are being read.
+    std::size_t heldResponseBytes() const
+    {
+        return m_responseMemory.heldBytes;
+    }
+    /// Returns the memory of calls that wait or are being sent.
+    std::size_t heldCallBytes() const;
+    /// Abandons the largest response that is being read. Returns false if there is none.
+    bool abandonLargestResponse();
 
 private:
     struct Upstream {
--- a/packages/meshnode/meshnode.cpp
+++ b/packages/meshnode/meshnode.cpp
@@ -4,6 +4,7 @@
 #include "callbroker.h"
 #include "healthprobe.h"
 #include "leaderclient.h"
+#include "mesh/memoryguard.h"
 
 #include <algorithm>
 #include <unistd.h>
@@ -58,6 +59,8 @@
     void holdAcknowledgement(const std::shared_ptr<PortExchange> &exchange, const std::string &upstreamId);
     void acknowledgeStoredDrains();
     void answerReadiness(const std::shared_ptr<PortExchange> &exchange);
+    void guardMemory();
+    std::vector<std::shared_ptr<FrameLink>> peerLinks() const;
     void answerMetrics(const std::shared_ptr<PortExchange> &exchange);
     void scheduleStatus();
     void sendStatus();
@@ -93,6 +96,7 @@
     HttpPort m_metricsPort;
     TcpListener m_peerListener;
     std::map<std::uint64_t, std::shared_ptr<FrameLink>> m_peerLinks;
+    MemoryGuard m_memoryGuard;
     std::uint64_t m_lastLinkId = 0;
     std::shared_ptr<const FleetConfig> m_config;
     std::uint64_t m_configIndex = 0;
@@ -140,10 +144,13 @@
                     [this](const auto &exchange) {
                         answerMetrics(exchange);
                     })
-    , m_peerListener(m_loop, [this](std::shared_ptr<TcpStream> stream) {
-        acceptPeer(std::move(stream));
-    })
+    , m_peerListener(m_loop,
+                     [this](std::shared_ptr<TcpStream> stream) {
+                         acceptPeer(std::move(stream));
+                     })
+    , m_memoryGuard(m_loop, m_log, m_metrics, settings.maxHeldBytes())
 {
+    guardMemory();
     m_links.onFrame = [this](const std::string &address, FrameType type, std::string_view payload) {
         handleLinkFrame(address, type, payload);
     };
@@ -207,6 +214,52 @@
     };
 }
 
+void Node::guardMemory()
+{
+    m_memoryGuard.add({"responses",
+                       [this] {
+                           return m_upstreams.heldResponseBytes();
+                       },
+                       [this] {
+                           return m_upstreams.abandonLargestResponse();
+                       }});
+    m_memoryGuard.add({"calls",
+                       [this] {
+                           return m_upstreams.heldCallBytes();
+                       },
+                       nullptr});
+    m_memoryGuard.add({"requests",
+                       [this] {
+                           return m_callerPort.heldRequestBytes();
+                       },
+                       [this] {
+                           return m_callerPort.refuseLargestRequest();
+                       }});
+    m_memoryGuard.add({"unread responses",
+                       [this] {
+                           return m_callerPort.unreadResponseBytes();
+                       },
+                       [this] {
+                           return m_callerPort.closeLargestUnread();
+                       }});
+    m_memoryGuard.add({"peers",
+                       [this] {
+                           return heldByLinks(peerLinks());
+                       },
+                       [this] {
+                           return closeLargestLink(peerLinks());
+                       }});
+}
+
+std::vector<std::shared_ptr<FrameLink>> Node::peerLinks() const
+{
+    std::vector<std::shared_ptr<FrameLink>> links = m_links.links();
+    for (const auto &[id, link] : m_peerLinks) {
+        links.push_back(link);
+    }
+    return links;
+}
+
 bool Node::open()
 {
     const auto listen = [this](auto &port, const std::string &address) {
@@ -522,6 +575,7 @@
 
 void Node::answerMetrics(const std::shared_ptr<PortExchange> &exchange)
 {
+    m_memoryGuard.updateMetrics();
     m_metrics.gauge("calls_pending", static_cast<double>(m_broker.pending()));
     m_metrics.gauge("upstream_calls_pending", static_cast<double>(m_upstreams.pending()));
     m_metrics.gauge("caller_connections", static_cast<double>(m_callerPort.connections()));
@@ -574,8 +628,8 @@
 
 std::size_t Node::unsentToPeers() const
 {
-    std::size_t sum = m_links.unsent();
-    for (const auto &[id, link] : m_peerLinks) {
+    std::size_t sum = 0;
+    for (const auto &link : peerLinks()) {
         sum += link->unsent();
     }
     return sum;
--- a/packages/meshnode/upstreamconnection.h
+++ b/packages/meshnode/upstreamconnection.h
@@ -80,6 +80,11 @@
     {
         return m_heldBytes;
     }
+    /// Bytes of the present call that were not handed to the system.
+    std::size_t unsent() const
+    {
+        return m_stream->unsent();
+    }
     double sentAtMs() const
     {
         return m_sentAtMs;
--- a/packages/meshnode/upstreamqueue.cpp
+++ b/packages/meshnode/upstreamqueue.cpp
@@ -1,6 +1,7 @@
 #include "upstreamqueue.h"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace Yuccagrade::Mesh
@@ -67,6 +68,13 @@
     return all;
 }
 
+std::size_t UpstreamQueue::bodyBytes() const
+{
+    return std::accumulate(m_calls.begin(), m_calls.end(), std::size_t(0), [](std::size_t sum, const auto &entry) {
+        return sum + entry.second.message.body.size();
+    });
+}
+
 bool UpstreamQueue::remove(std::uint64_t senderId, std::uint64_t callId)
 {
     for (auto entry = m_calls.begin(); entry != m_calls.end(); ++entry) {
--- a/packages/meshnode/upstreamqueue.h
+++ b/packages/meshnode/upstreamqueue.h
@@ -36,6 +36,8 @@
     {
         return m_calls.size();
     }
+    /// Returns the memory of the bodies of all queued calls.
+    std::size_t bodyBytes() const;
     /// Removes and returns the next call.
     OfferedCall takeNext();
     /// Removes and returns the calls whose latest start is not after @p nowMs.
--- a/packages/net/httpport.cpp
+++ b/packages/net/httpport.cpp
@@ -11,6 +11,9 @@
 constexpr std::size_t maxPipelined = 32;
 constexpr TimeMs checkPeriodMs = 500;
 constexpr int continueStatus = 100;
+constexpr int unavailableStatus = 503;
+// Bytes behind the last request that may be read now; with more, reading pauses.
+constexpr std::size_t maxHeldBytes = 64U << 10U;
 // Unread response bytes of a client that does not read; more ends the connection.
 constexpr std::size_t maxUnsentBytes = 4U << 20U;
 // The same for all clients of a port, less than a third of the memory of the smallest process; beyond it the connections with
@@ -82,6 +85,7 @@
                 m_stream->write(exchange->m_body);
             }
             if (last) {
+                m_port.addUnsent(m_stream->unsent() - unsentBefore);
                 finish();
                 return;
             }
@@ -89,6 +93,7 @@
         m_port.addUnsent(m_stream->unsent() - unsentBefore);
         if (m_exchanges.size() < maxPipelined && !m_held.empty()) {
             const std::string held = std::exchange(m_held, {});
+            m_stream->pauseReading(false);
             read(held);
         }
         if (m_reader.state() == HttpReader::State::Reading) {
@@ -116,6 +121,30 @@
     {
         return m_exchanges.size() + (m_reader.state() == HttpReader::State::Reading ? 1 : 0) + (m_stream->unsent() > 0 ? 1 : 0);
     }
+    std::size_t heldRequestBytes() const
+    {
+        std::size_t bytes = m_held.size() + (m_reader.state() == HttpReader::State::Reading ? m_reader.heldBytes() : 0);
+        for (const auto &exchange : m_exchanges) {
+            bytes += exchange->m_request.body.size();
+        }
+        return bytes;
+    }
+    // Bytes of the request that is being read; 0 if there is none that can be refused.
+    std::size_t refusableBytes() const
+    {
+        return !m_ending && m_reader.state() == HttpReader::State::Reading ? m_reader.heldBytes() : 0;
+    }
+    void refuseRequest(int status, std::string_view defect)
+    {
+        const auto exchange = std::make_shared<PortExchange>();
+        exchange->m_connection = weak_from_this();
+        m_exchanges.push_back(exchange);
+        m_ending = true;
+        const UnreadableRequest request{status, m_reader.message(), defect, m_reader.limits(), m_requests};
+        std::string head = m_port.onUnreadable ? m_port.onUnreadable(request) : responseHead(status);
+        m_reader.take(); // releases what was read
+        exchange->respond(std::move(head), {}, true);
+    }
     void finish()
     {
         m_port.addLastWrites(m_stream);
@@ -149,6 +178,7 @@
         while (!data.empty() && !m_ending && m_stream->isOpen()) {
             if (m_exchanges.size() >= maxPipelined) {
                 m_held.append(data);
+                m_stream->pauseReading(m_held.size() > maxHeldBytes);
                 return;
             }
             const bool wasIdle = m_reader.state() == HttpReader::State::Idle;
@@ -187,15 +217,13 @@
 
     void accept()
     {
-        const auto exchange = std::make_shared<PortExchange>();
-        exchange->m_connection = weak_from_this();
-        m_exchanges.push_back(exchange);
         if (m_reader.state() != HttpReader::State::Complete) {
-            m_ending = true;
-            const UnreadableRequest request{statusOf(m_reader.state()), m_reader.message(), m_reader.defect(), m_reader.limits(), m_requests};
-            exchange->respond(m_port.onUnreadable ? m_port.onUnreadable(request) : responseHead(request.status), {}, true);
+            refuseRequest(statusOf(m_reader.state()), m_reader.defect());
             return;
         }
+        const auto exchange = std::make_shared<PortExchange>();
+        exchange->m_connection = weak_from_this();
+        m_exchanges.push_back(exchange);
         ++m_requests;
         exchange->m_request = m_reader.take();
         m_ending = m_lastRequest || !exchange->m_request.keepAlive;
@@ -306,9 +334,9 @@
         count += connection->pending();
     }
     return count + static_cast<std::size_t>(std::count_if(m_lastWrites.begin(), m_lastWrites.end(), [](const auto &entry) {
-        const auto stream = entry.lock();
-        return stream && stream->unsent() > 0;
-    }));
+               const auto stream = entry.lock();
+               return stream && stream->unsent() > 0;
+           }));
 }
 
 void HttpPort::addLastWrites(const std::shared_ptr<TcpStream> &stream)
@@ -328,6 +356,64 @@
     }
 }
 
+std::size_t HttpPort::heldRequestBytes() const
+{
+    std::size_t sum = 0;
+    for (const auto &connection : m_connections) {
+        sum += connection->heldRequestBytes();
+    }
+    return sum;
+}
+
+std::size_t HttpPort::unreadResponseBytes() const
+{
+    std::size_t sum = 0;
+    for (const auto &connection : m_connections) {
+        sum += connection->m_stream->unsent();
+    }
+    for (const auto &entry : m_lastWrites) {
+        const auto stream = entry.lock();
+        sum += stream ? stream->unsent() : 0;
+    }
+    return sum;
+}
+
+bool HttpPort::refuseLargestRequest()
+{
+    const auto largest = std::max_element(m_connections.begin(), m_connections.end(), [](const auto &a, const auto &b) {
+        return a->refusableBytes() < b->refusableBytes();
+    });
+    if (largest == m_connections.end() || (*largest)->refusableBytes() == 0) {
+        return false;
+    }
+    const auto connection = *largest;
+    connection->refuseRequest(unavailableStatus, "no memory");
+    return true;
+}
+
+bool HttpPort::closeLargestUnread()
+{
+    std::shared_ptr<HttpPortConnection> largest;
+    for (const auto &connection : m_connections) {
+        if (connection->m_stream->unsent() > (largest ? largest->m_stream->unsent() : 0)) {
+            largest = connection;
+        }
+    }
+    std::shared_ptr<TcpStream> closing;
+    for (const auto &entry : m_lastWrites) {
+        const auto stream = entry.lock();
+        if (stream && stream->unsent() > (closing ? closing->unsent() : largest ? largest->m_stream->unsent() : 0)) {
+            closing = stream;
+        }
+    }
+    if (closing) {
+        closing->close();
+    } else if (largest) {
+        largest->gone();
+    }
+    return closing || largest;
+}
+
 // Adding up the unsent bytes of all connections is put off until their sum can have passed the limit.
 void HttpPort::addUnsent(std::size_t bytes)
 {
@@ -342,21 +428,9 @@
 
 void HttpPort::boundUnsent()
 {
-    m_unsentAtMost = 0;
-    std::vector<std::shared_ptr<HttpPortConnection>> unread;
-    for (const auto &connection : m_connections) {
-        m_unsentAtMost += connection->m_stream->unsent();
-        if (connection->m_stream->unsent() > 0) {
-            unread.push_back(connection);
-        }
-    }
-    std::sort(unread.begin(), unread.end(), [](const auto &a, const auto &b) {
-        return a->m_stream->unsent() < b->m_stream->unsent();
-    });
-    while (m_unsentAtMost > maxUnsentBytesOfAll && !unread.empty()) {
-        m_unsentAtMost -= unread.back()->m_stream->unsent();
-        unread.back()->gone();
-        unread.pop_back();
+    m_unsentAtMost = unreadResponseBytes();
+    while (m_unsentAtMost > maxUnsentBytesOfAll && closeLargestUnread()) {
+        m_unsentAtMost = unreadResponseBytes();
     }
 }
 }
--- a/packages/net/httpport.h
+++ b/packages/net/httpport.h
@@ -51,7 +51,7 @@
 
 /// A request that an HttpPort refuses because it could not be read.
 struct UnreadableRequest {
-    int status = 0; ///< 400, 413 or 431
+    int status = 0; ///< 400, 413, 431, or 503 for want of memory
     const HttpMessage &message; ///< what was read of the request
     std::string_view defect;
     HttpReaderLimits limits; ///< of the connection
@@ -95,6 +95,14 @@
     {
         return m_connections.size();
     }
+    /// Memory of requests that are being read or answered.
+    std::size_t heldRequestBytes() const;
+    /// Memory of responses that clients have not read.
+    std::size_t unreadResponseBytes() const;
+    /// Refuses the largest request that is being read with 503. Returns false if there is none.
+    bool refuseLargestRequest();
+    /// Closes the connection with the largest unread response. Returns false if there is none.
+    bool closeLargestUnread();
     /// Requests that were read in part or whole and not answered, and connections whose client has not read all responses.
     std::size_t pending() const;
 
--- a/tests/mesh/meshtest.cpp
+++ b/tests/mesh/meshtest.cpp
@@ -2,11 +2,14 @@
 
 #include "mesh/fleetconfig.h"
 #include "mesh/framelink.h"
+#include "mesh/memoryguard.h"
 #include "mesh/meshsettings.h"
 #include "mesh/messages.h"
 
+#include <algorithm>
 #include <fstream>
 #include <iterator>
+#include <numeric>
 #include <rapidcheck.h>
 
 using namespace Yuccagrade;
@@ -369,6 +372,93 @@
     BOOST_TEST(received > frameBytes);
 }
 
+// Guards against a process that ends since the sum of what it holds exceeds its memory, though each part is bounded.
+BOOST_AUTO_TEST_CASE(sumOfHeldMemoryIsBounded)
+{
+    EventLoop loop;
+    EventLog log(loop.clock(), "test", "-", Severity::Error);
+    Metrics metrics;
+    std::vector<std::size_t> responses{30, 5};
+    std::vector<std::size_t> requests{20, 20, 1};
+    const auto use = [](const std::string &name, std::vector<std::size_t> &parts) {
+        return MemoryUse{name,
+                         [&parts] {
+                             return std::accumulate(parts.begin(), parts.end(), std::size_t(0));
+                         },
+                         [&parts] {
+                             const auto largest = std::max_element(parts.begin(), parts.end());
+                             const bool released = largest != parts.end();
+                             if (released) {
+                                 parts.erase(largest);
+                             }
+                             return released;
+                         }};
+    };
+    MemoryGuard guard(loop, log, metrics, 50);
+    guard.add(use("responses", responses));
+    guard.add(use("requests", requests));
+    guard.check();
+    BOOST_TEST(responses.size() == 1U);
+    BOOST_TEST(requests.size() == 2U);
+    // What cannot be given up counts too, and does not keep the check busy.
+    guard.add({"calls",
+               [] {
+                   return std::size_t(60);
+               },
+               nullptr});
+    guard.check();
+    BOOST_TEST(responses.empty());
+    BOOST_TEST(requests.empty());
+    BOOST_TEST(metrics.value("memory_released_total", "use=\"requests\"") == 3);
+}
+
+// Guards against holding replies without bound for a process that sends calls and reads nothing.
+BOOST_AUTO_TEST_CASE(linkOfAPeerThatDoesNotReadIsClosed)
+{
+    EventLoop loop;
+    std::vector<std::shared_ptr<FrameLink>> links;
+    TcpListener listener(loop, [&](std::shared_ptr<TcpStream> stream) {
+        links.push_back(FrameLink::open(std::move(stream), loop.clock()));
+    });
+    BOOST_REQUIRE(!listener.listen("127.0.0.1:0"));
+    std::vector<std::shared_ptr<TcpStream>> peers;
+    for (int i = 0; i < 3; ++i) {
+        peers.push_back(TcpStream::connect(loop, listener.address(), {}));
+        peers.back()->pauseReading(i > 0);
+    }
+    EventLog log(loop.clock(), "test", "-", Severity::Error);
+    Metrics metrics;
+    constexpr std::size_t limitBytes = 40U << 20U;
+    MemoryGuard guard(loop, log, metrics, limitBytes);
+    guard.add({"peers",
+               [&] {
+                   return heldByLinks(links);
+               },
+               [&] {
+                   return closeLargestLink(links);
+               }});
+    std::size_t peak = 0;
+    loop.every(10, [&] {
+        for (const auto &link : links) {
+            link->send(FrameType::Reply, std::string(1U << 20U, 'x'));
+        }
+        peak = std::max(peak, heldByLinks(links));
+    });
+    loop.after(1'500, [&] {
+        loop.stop();
+    });
+    loop.run();
+    BOOST_REQUIRE(links.size() == 3U);
+    BOOST_TEST(peak < 2 * limitBytes);
+    // The sound peer keeps its link.
+    BOOST_TEST(std::count_if(links.begin(),
+                             links.end(),
+                             [](const auto &link) {
+                                 return link->isOpen();
+                             })
+               >= 1);
+}
+
 // Guards against a settings page that differs from the options that the program accepts.
 BOOST_AUTO_TEST_CASE(settingsPageMatchesTheTable)
 {
--- a/tests/net/porttest.cpp
+++ b/tests/net/porttest.cpp
@@ -417,6 +417,99 @@
     loop.cancel(probe);
 }
 
+// Guards against uploads that exceed the memory of the process: the largest is refused, and says truly that it has not run.
+BOOST_AUTO_TEST_CASE(largestRequestThatIsBeingReadCanBeRefused)
+{
+    EventLoop loop;
+    int handled = 0;
+    HttpPort port(loop, [&](const std::shared_ptr<PortExchange> &exchange) {
+        ++handled;
+        exchange->respond(responseHead(200), {});
+    });
+    BOOST_REQUIRE(!port.listen("127.0.0.1:0"));
+    BOOST_TEST(!port.refuseLargestRequest());
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n";
+    TestClient small(loop, port.address(), head + std::string(500'000, 'x'));
+    TestClient large(loop, port.address(), head + std::string(900'000, 'x'));
+    loop.after(200, [&] {
+        BOOST_TEST(port.heldRequestBytes() >= 1'400'000U);
+        BOOST_TEST(port.refuseLargestRequest());
+        BOOST_TEST(port.heldRequestBytes() < 900'000U);
+        small.stream->write(std::string(500'000, 'x'));
+        large.stream->write(std::string(100'000, 'x'));
+    });
+    loop.after(600, [&] {
+        loop.stop();
+    });
+    runBounded(loop);
+    BOOST_TEST(handled == 1);
+    BOOST_TEST(small.received.starts_with("HTTP/1.1 200"));
+    BOOST_TEST(large.received.starts_with("HTTP/1.1 503"));
+    BOOST_TEST(large.received.find("Connection: close") != std::string::npos);
+}
+
+// Guards against requests without bound that are held behind those of the same connection.
+BOOST_AUTO_TEST_CASE(pipelinedBytesAreNotHeldWithoutBound)
+{
+    EventLoop loop;
+    std::vector<std::shared_ptr<PortExchange>> open;
+    HttpPort port(loop, [&](const std::shared_ptr<PortExchange> &exchange) {
+        open.push_back(exchange);
+    });
+    BOOST_REQUIRE(!port.listen("127.0.0.1:0"));
+    const std::string request = "GET / HTTP/1.1\r\nHost: h\r\nX-Pad: " + std::string(4'000, 'x') + "\r\n\r\n";
+    std::string many;
+    constexpr std::size_t requests = 5'000;
+    for (std::size_t i = 0; i < requests; ++i) {
+        many += request;
+    }
+    TestClient client(loop, port.address(), many);
+    std::size_t peak = 0;
+    loop.every(5, [&] {
+        peak = std::max(peak, port.heldRequestBytes());
+    });
+    loop.after(300, [&] {
+        BOOST_TEST(open.size() == 32U);
+        loop.every(1, [&] {
+            for (const auto &exchange : std::exchange(open, {})) {
+                exchange->respond(responseHead(204), {});
+            }
+        });
+    });
+    client.onChange = [&] {
+        if (client.received.size() >= requests * std::string("HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n").size()) {
+            loop.stop();
+        }
+    };
+    runBounded(loop);
+    BOOST_TEST(peak < 1'000'000U);
+}
+
+// Guards against a body of tiny chunks without end that takes the processor for as long as its size limit allows.
+BOOST_AUTO_TEST_CASE(framingWithoutEndEndsAResponseEarly)
+{
+    HttpReader reader(HttpReader::Kind::Response, {65'536, 16U << 20U});
+    reader.read("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    std::string chunks;
+    for (int i = 0; i < 1'000; ++i) {
+        chunks += "1\r\nx\r\n";
+    }
+    std::size_t bytes = 0;
+    while (reader.state() == HttpReader::State::Reading) {
+        bytes += reader.read(chunks);
+    }
+    BOOST_TEST((reader.state() == HttpReader::State::Malformed));
+    BOOST_TEST(bytes < 4U << 20U);
+    // A body of small chunks that ends is read.
+    HttpReader small(HttpReader::Kind::Response, {65'536, 16U << 20U});
+    small.read("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    for (int i = 0; i < 100; ++i) {
+        small.read(chunks);
+    }
+    small.read("0\r\n\r\n");
+    BOOST_TEST((small.state() == HttpReader::State::Complete));
+}
+
 // Guards against a drained listener that resets requests already sent.
 BOOST_AUTO_TEST_CASE(stoppedPortAnswersWhatItHasRead)
 {
