Credits of the weighted choice end with their weights

Cause: the credits of the smooth weighted choice outlive the configuration, and a service of weight 0 with credit was chosen.

The credits of a route end when its services or weights change, and a service without weight is never chosen beside one that has some.

serviceWithoutWeightGetsNoRequestAfterAChange failed before (20 checks) and passes now.

--- a/packages/mesh/fleetconfig.h
+++ b/packages/mesh/fleetconfig.h
@@ -21,6 +21,7 @@
 struct WeightedService {
     std::string service;
     double weight = 1;
+    bool operator==(const WeightedService &) const = default;
 };
 
 /// Maps a host name and a path prefix to services.
--- a/packages/meshnode/callbroker.cpp
+++ b/packages/meshnode/callbroker.cpp
@@ -29,6 +29,15 @@
 constexpr double nestedUpstreamWaitShare = 0.8;
 constexpr double rootUpstreamWaitShare = 0.1;
 constexpr TimeMs upstreamWaitCheckMs = 20;
+
+// Returns nothing for an unknown route.
+std::vector<WeightedService> servicesOf(const FleetConfig &config, const std::string &routeName)
+{
+    const auto found = std::find_if(config.routes.begin(), config.routes.end(), [&routeName](const Route &route) {
+        return route.name == routeName;
+    });
+    return found == config.routes.end() ? std::vector<WeightedService>() : found->services;
+}
 }
 
 CallBroker::CallBroker(EventLoop &loop,
@@ -57,6 +66,7 @@
 
 void CallBroker::setConfig(std::shared_ptr<const FleetConfig> config)
 {
+    dropChangedWeights(*config);
     m_config = std::move(config);
     m_configAtMs = now();
     for (const Denial &denial : m_denials.setConfig(m_config)) {
@@ -77,6 +87,14 @@
     }
 }
 
+// Credits that were earned with other weights would still send requests to a service after its weight became 0.
+void CallBroker::dropChangedWeights(const FleetConfig &next)
+{
+    std::erase_if(m_weightCredit, [this, &next](const auto &entry) {
+        return servicesOf(*m_config, entry.first) != servicesOf(next, entry.first);
+    });
+}
+
 void CallBroker::handle(const std::shared_ptr<PortExchange> &exchange)
 {
     const HttpMessage &message = exchange->request();
@@ -184,9 +202,10 @@
     double sum = 0;
     std::size_t best = 0;
     for (std::size_t i = 0; i < credit.size(); ++i) {
-        credit[i] += route.services[i].weight;
-        sum += route.services[i].weight;
-        if (credit[i] > credit[best] || route.services[best].weight <= 0) {
+        const double weight = route.services[i].weight;
+        credit[i] += weight;
+        sum += weight;
+        if (weight > 0 && (credit[i] > credit[best] || route.services[best].weight <= 0)) {
             best = i;
         }
     }
--- a/packages/meshnode/callbroker.h
+++ b/packages/meshnode/callbroker.h
@@ -166,6 +166,7 @@
     void expireTokenWaits();
     void refuseOverRate(const CallPtr &call);
     void startCall(const CallPtr &call);
+    void dropChangedWeights(const FleetConfig &next);
     std::string pickService(const Route &route);
     bool dispatch(const CallPtr &call);
     bool dispatchOrWait(const CallPtr &call);
--- a/tests/meshnode/callbrokertest.cpp
+++ b/tests/meshnode/callbrokertest.cpp
@@ -202,3 +202,26 @@
     BOOST_TEST(fixture.answer("/old/x", "k2").starts_with("HTTP/1.1 503"));
     BOOST_TEST(fixture.answer("/old/x", "k1").starts_with("HTTP/1.1 200"));
 }
+
+// Guards against requests that go to a service by weights that a newer configuration has replaced.
+BOOST_AUTO_TEST_CASE(serviceWithoutWeightGetsNoRequestAfterAChange)
+{
+    const auto weighted = [](std::uint64_t version, int stock, int other) {
+        auto result = std::make_shared<FleetConfig>(*config(version, {"/old/"}, {"k1"}));
+        result->services.push_back({"other", {}, 0});
+        result->routes.front().services = {{"stock", stock}, {"other", other}};
+        Findings findings;
+        result->index(findings);
+        BOOST_REQUIRE(findings.empty());
+        return result;
+    };
+    for (const auto &[stock, other] : {std::pair(500, 500), std::pair(1, 9)}) {
+        Fixture fixture;
+        fixture.broker.setConfig(weighted(1, stock, other));
+        fixture.answer("/old/x", "k1");
+        fixture.broker.setConfig(weighted(2, 1, 0));
+        for (int i = 0; i < 20; ++i) {
+            BOOST_TEST(fixture.answer("/old/x", "k1").starts_with("HTTP/1.1 200"));
+        }
+    }
+}
