--- a/packages/net/httpport.cpp
+++ b/packages/net/httpport.cpp
@@ -136,6 +136,7 @@
     }
     void refuseRequest(int status, std::string_view defect)
     {
+        const auto self = shared_from_this(); // the response may end the connection
         const auto exchange = std::make_shared<PortExchange>();
         exchange->m_connection = weak_from_this();
         m_exchanges.push_back(exchange);
@@ -386,8 +387,7 @@
     if (largest == m_connections.end() || (*largest)->refusableBytes() == 0) {
         return false;
     }
-    const auto connection = *largest;
-    connection->refuseRequest(unavailableStatus, "no memory");
+    (*largest)->refuseRequest(unavailableStatus, "no memory");
     return true;
 }
 
--- a/packages/net/tcp.h
+++ b/packages/net/tcp.h
@@ -64,6 +64,7 @@
     }
     /// Stops or resumes reading; while reading is paused a close of the peer is not seen.
     void pauseReading(bool paused);
+
 private:
     TcpStream(EventLoop &loop, int descriptor, bool connected);
     void updateWatch();
--- a/tests/meshcontrol/meshcontroltest.cpp
+++ b/tests/meshcontrol/meshcontroltest.cpp
@@ -163,7 +163,7 @@
         store.apply(static_cast<std::uint64_t>(i), {std::to_string(i), {{"i-" + std::to_string(i), i, 1, true}}});
     }
     for (int i = 0; i < 100; ++i) {
-        store.apply(static_cast<std::uint64_t>(5'000 + i), {"a", {{"i-" + std::to_string(i), i, 1, true}}});
+        store.apply(5'000U + static_cast<std::uint64_t>(i), {"a", {{"i-" + std::to_string(i), i, 1, true}}});
     }
     BOOST_TEST(store.save().size() < 5'000U);
     BOOST_TEST(store.drained("4999").size() == 1U);
--- a/tests/meshnode/callbrokertest.cpp
+++ b/tests/meshnode/callbrokertest.cpp
@@ -206,7 +206,7 @@
 // Guards against requests that go to a service by weights that a newer configuration has replaced.
 BOOST_AUTO_TEST_CASE(serviceWithoutWeightGetsNoRequestAfterAChange)
 {
-    const auto weighted = [](std::uint64_t version, int stock, int other) {
+    const auto weighted = [](std::uint64_t version, double stock, double other) {
         auto result = std::make_shared<FleetConfig>(*config(version, {"/old/"}, {"k1"}));
         result->services.push_back({"other", {}, 0});
         result->routes.front().services = {{"stock", stock}, {"other", other}};
@@ -215,7 +215,7 @@
         BOOST_REQUIRE(findings.empty());
         return result;
     };
-    for (const auto &[stock, other] : {std::pair(500, 500), std::pair(1, 9)}) {
+    for (const auto &[stock, other] : {std::pair(500.0, 500.0), std::pair(1.0, 9.0)}) {
         Fixture fixture;
         fixture.broker.setConfig(weighted(1, stock, other));
         fixture.answer("/old/x", "k1");
