--- a/packages/meshnode/localupstreams.h
+++ b/packages/meshnode/localupstreams.h
@@ -64,8 +64,8 @@
     {
         return m_knowsStoredDrains;
     }
-    /// Sets the stored drains of this host, those from before the start of this process included. These upstreams are used
-    /// again only after a newer announcement.
+    /// Sets the stored drains of this host, those from before the start of this process included. Their upstreams are used again
+    /// only after a newer announcement.
     void setStoredDrains(const std::vector<DrainedUpstream> &drained);
     /// Updates the smoothed demand with the calls since the previous measurement; to be called before each report to the
     /// leader.
--- a/packages/net/httpreader.cpp
+++ b/packages/net/httpreader.cpp
@@ -13,7 +13,7 @@
 // Framing bytes (chunk sizes, extensions, trailers) of a response that are accepted for each byte of its body, beyond the
 // limit of the header. A chunk of one byte takes five.
 constexpr std::size_t maxFramingRatio = 16;
-// Bodies with more framing than this are mostly made of it, and cost a hundred times the processor time of others.
+// Limit of the framing beyond the size of the body: bodies of tiny chunks cost much processor time for few bytes.
 constexpr std::size_t maxFramingBytes = 1U << 20U;
 constexpr std::array<std::string_view, 8>
     connectionFields{"connection", "keep-alive", "proxy-connection", "te", "trailer", "upgrade", "transfer-encoding", "content-length"};
