Types of the coming parts: cold limits, evacuations, work time, download routes

A configuration with a route of type download was refused as a whole, so a fleet with such routes served nothing. Downloads are idempotent.

The adapter now reads the cold limits of services, the regions of routes and teams, the fourth figure of the load field (work time in percent), the remaining warm-up time of health responses and the evacuation orders. Nothing but the route type takes effect yet; the orders are still answered 404. A load field with negative or absurd figures is ignored.

test_platform passes; downloadsColdLimitsAndRegionsAreRead, loadFieldIsReadWithAndWithoutTheWorkTime and evacuationOrdersAreRead are new.

--- a/packages/mesh/fleetconfig.h
+++ b/packages/mesh/fleetconfig.h
@@ -35,6 +35,7 @@
     int priority = 0; ///< 0 is the highest
     int maxAttempts = 1; ///< upstreams to which one request may be sent, the first included
     bool open = false; ///< requests need no key
+    std::vector<std::string> regions; ///< whose upstreams may serve the requests; empty for all
     std::vector<WeightedService> services;
 };
 
@@ -43,6 +44,8 @@
     std::string name;
     std::string healthPath;
     int maxConnections = 0; ///< to one upstream, 0 for no limit
+    TimeMs warmUpMs = 0; ///< how long an upstream stays cold after its start
+    double coldRatePerS = 0; ///< requests per second that a cold upstream tolerates from all hosts together; 0 for no limit
 };
 
 /// A team with its keys and its rate limit over all nodes.
@@ -52,6 +55,7 @@
     std::optional<int> priority; ///< overrides the priority of the route
     double ratePerS = 0; ///< 0 for no limit
     double burst = 0;
+    std::vector<std::string> regions; ///< whose upstreams may serve the team's requests; empty for all
 };
 
 /// Limits on the size and the timing of callers' requests.
--- a/packages/mesh/messages.cpp
+++ b/packages/mesh/messages.cpp
@@ -33,7 +33,7 @@
 
 auto fields(IsLoadReport auto &m)
 {
-    return std::tie(m.busy, m.limit, m.offeredLoad, m.makesCalls);
+    return std::tie(m.busy, m.limit, m.offeredLoad, m.makesCalls, m.workTimeFactor, m.newCallsPerS, m.declinedShare);
 }
 auto fields(Is<CallMessage> auto &m)
 {
@@ -142,7 +142,8 @@
                     m.needsFullDemand,
                     m.levels,
                     m.account,
-                    m.fleetSize);
+                    m.fleetSize,
+                    m.evacuatedDomains);
 }
 auto fields(Is<ConsensusMessage> auto &m)
 {
--- a/packages/mesh/messages.h
+++ b/packages/mesh/messages.h
@@ -33,6 +33,9 @@
     int limit = 0; ///< calls that may run at once; 0 if unknown
     double offeredLoad = 0; ///< slots that all calls would occupy, refused ones included
     bool makesCalls = true; ///< the upstream called other services recently
+    double workTimeFactor = 1; ///< time that work takes on the upstream's host at present, relative to its usual time
+    double newCallsPerS = 0; ///< calls per second that were offered to the upstream for the first time
+    double declinedShare = 0; ///< recent share of the calls sent to the upstream that it declined
 };
 
 /// A call sent by the node on the caller's host to the node on the upstream's host.
@@ -231,6 +234,7 @@
     std::vector<ServiceLevel> levels;
     std::uint64_t account = 0; ///< token account to which the shares and their tokens belong
     int fleetSize = 0; ///< nodes among which the rates are shared
+    std::vector<std::string> evacuatedDomains; ///< failure domains to whose upstreams no calls are sent
 
     /// True if no other control host could lead when the reply was sent, so that its configuration was the newest.
     bool isCurrent() const
--- a/packages/mesh/protocoladapter.h
+++ b/packages/mesh/protocoladapter.h
@@ -33,9 +33,10 @@
     bool wrongUpstream = false; ///< the call named another incarnation
     std::optional<TimeMs> idleTimeoutMs; ///< how long the upstream keeps an idle connection
     std::string upstreamId; ///< incarnation that answered a health check
-    std::optional<LoadReport> load; ///< busy: running and waiting calls; limit: slots
+    std::optional<LoadReport> load; ///< busy: running and waiting calls; limit: slots; workTimeFactor: 1 if not given
     std::optional<double> limitPerS; ///< requests per second that the upstream takes from all hosts together
     bool leaving = false; ///< the upstream is about to end
+    std::optional<double> coldLeftMs; ///< remaining warm-up time, in the response to a health check
 };
 
 /// Announcement of an upstream to the node on its host.
@@ -55,9 +56,10 @@
 
 /// A request to the operators' interface.
 struct OperatorCall {
-    enum class Kind { Publish, Read, Unknown };
+    enum class Kind { Publish, Read, StartEvacuation, EndEvacuation, Unknown };
     Kind kind = Kind::Unknown;
     std::uint64_t baseVersion = 0; ///< version that a published configuration replaces
+    std::string domain; ///< failure domain of an evacuation
 };
 
 /// Translates between a platform's HTTP protocol and the types of the mesh. The adapter of the platform sets all members.
--- a/packages/meshcontrol/meshcontrol.cpp
+++ b/packages/meshcontrol/meshcontrol.cpp
@@ -598,7 +598,8 @@
 void ControlHost::handleOperatorCall(const ExchangePtr &exchange)
 {
     const OperatorCall call = m_adapter.readOperatorCall(exchange->request());
-    if (call.kind == OperatorCall::Kind::Unknown) {
+    const bool isEvacuation = call.kind == OperatorCall::Kind::StartEvacuation || call.kind == OperatorCall::Kind::EndEvacuation;
+    if (call.kind == OperatorCall::Kind::Unknown || isEvacuation) {
         exchange->respond(responseHead(404), {});
     } else if (!m_leads || !m_group.replica().isReady() || m_stopping) {
         redirect(exchange);
--- a/tests/platform/platformtest.cpp
+++ b/tests/platform/platformtest.cpp
@@ -69,6 +69,56 @@
     BOOST_TEST(config.service("s1")->maxConnections == 370);
 }
 
+// Guards against a configuration that is refused for a download route, and against cold limits and regions that are dropped.
+BOOST_AUTO_TEST_CASE(downloadsColdLimitsAndRegionsAreRead)
+{
+    std::string text = replaced(document, R"("safe","timeoutS":1.2)", R"("download","allowedRegions":["north"],"timeoutS":1.2)");
+    text = replaced(text, R"("maxConnections":370)", R"("maxConnections":370,"coldStartS":3.0,"coldPerS":13.0)");
+    text = replaced(text, R"("burst":70)", R"("burst":70,"allowedRegions":["south"])");
+    FleetConfig config;
+    Findings findings;
+    Platform::readDocument(text, config, findings);
+    BOOST_REQUIRE_MESSAGE(findings.empty(), toText(findings));
+    BOOST_TEST((config.route("a.example", "/p/x")->repeatability == Repeatability::Idempotent));
+    BOOST_TEST(config.route("a.example", "/p/x")->regions == std::vector<std::string>{"north"}, boost::test_tools::per_element());
+    BOOST_TEST(config.service("s1")->warmUpMs == 3'000);
+    BOOST_TEST(config.service("s1")->coldRatePerS == 13);
+    BOOST_TEST(config.service("s2")->coldRatePerS == 0);
+    BOOST_TEST(config.teamOfKey("k1")->regions == std::vector<std::string>{"south"}, boost::test_tools::per_element());
+    BOOST_TEST(findingsOf(replaced(text, R"(["north"])", "[7]")) == 1U);
+}
+
+// Guards against a work time that is ignored, and against a false one that excludes a server for good.
+BOOST_AUTO_TEST_CASE(loadFieldIsReadWithAndWithoutTheWorkTime)
+{
+    const ProtocolAdapter adapter = Platform::makeProtocolAdapter();
+    const auto load = [&adapter](const std::string &text) {
+        HttpMessage message;
+        message.status = 200;
+        message.fields = {{"X-Yuccagrade-Server-Load", text}, {"X-Yuccagrade-Cold-Ms", "1500"}};
+        const UpstreamAnswer answer = adapter.readAnswer(message);
+        BOOST_TEST(answer.coldLeftMs.value_or(0) == 1'500);
+        return answer.load;
+    };
+    BOOST_TEST(load("3,1,8,250")->workTimeFactor == 2.5);
+    BOOST_TEST(load("3,1,8,250")->busy == 4);
+    BOOST_TEST(load("3,1,8")->workTimeFactor == 1);
+    BOOST_TEST(load("3,1,8,-5")->workTimeFactor == 1);
+    BOOST_TEST(load("3,1,8,999999999")->workTimeFactor == 20);
+    BOOST_TEST(!load("3,1"));
+    BOOST_TEST(!load("2000000000,2000000000,8"));
+}
+
+// Guards against orders for a domain that are taken for other calls.
+BOOST_AUTO_TEST_CASE(evacuationOrdersAreRead)
+{
+    const ProtocolAdapter adapter = Platform::makeProtocolAdapter();
+    BOOST_TEST((adapter.readOperatorCall(heartbeat("", "/Evacuations.Start/milano-a")).kind == OperatorCall::Kind::StartEvacuation));
+    BOOST_TEST(adapter.readOperatorCall(heartbeat("", "/Evacuations.Start/milano-a")).domain == "milano-a");
+    BOOST_TEST((adapter.readOperatorCall(heartbeat("", "/Evacuations.End/milano-a")).kind == OperatorCall::Kind::EndEvacuation));
+    BOOST_TEST((adapter.readOperatorCall(heartbeat("", "/Evacuations.Other/milano-a")).kind == OperatorCall::Kind::Unknown));
+}
+
 // Guards against accepting an invalid configuration.
 BOOST_AUTO_TEST_CASE(invalidDocumentsAreRefused)
 {
