Nodes: limit the rate of cold upstreams, leave out evacuated domains

A cold upstream ends when it gets its usual rate within its first seconds, for example after a power loss. The node beside the upstream now keeps to the lower one of coldPerS and the rate that the upstream names. It treats an upstream as cold until its next statement after it was unreachable, after an evacuation, and after a health check that stated no time. After a refused connection, one announcement of the former process does not count, since it may be late. Services without coldPerS are not affected.

Nodes take the list of evacuated domains from current leaders only, send no calls to these domains, and refuse calls to their own upstream while their domain is in the list.

--- a/packages/meshnode/directory.cpp
+++ b/packages/meshnode/directory.cpp
@@ -103,6 +103,11 @@
     });
 }
 
+void Directory::setEvacuatedDomains(const std::vector<std::string> &domains)
+{
+    m_evacuatedDomains = {domains.begin(), domains.end()};
+}
+
 double Directory::score(const Upstream &upstream, double nowMs)
 {
     const bool fresh = nowMs - upstream.loadAtMs < loadValidMs && upstream.load.limit > 0;
@@ -146,7 +151,7 @@
     double bestScore = std::numeric_limits<double>::max();
     for (const auto &[id, upstream] : m_upstreams) {
         if (upstream.entry.service != service || upstream.entry.state == UpstreamState::Draining || tried.contains(id)
-            || !reachable(upstream.entry.peerAddress)) {
+            || m_evacuatedDomains.contains(upstream.entry.domain) || !reachable(upstream.entry.peerAddress)) {
             continue;
         }
         if (upstream.entry.state == UpstreamState::Unreachable || nowMs < upstream.avoidUntilMs) {
--- a/packages/meshnode/directory.h
+++ b/packages/meshnode/directory.h
@@ -36,6 +36,8 @@
                                 const std::set<std::string> &tried,
                                 const std::function<bool(const std::string &peerAddress)> &reachable,
                                 double nowMs);
+    /// Sets the failure domains to whose upstreams no calls are sent.
+    void setEvacuatedDomains(const std::vector<std::string> &domains);
     /// Counts a call that was sent to an upstream.
     void recordSent(const std::string &upstreamId);
     /// Counts the end of a call that was sent to an upstream.
@@ -81,6 +83,7 @@
     std::string m_domain;
     Random m_random;
     std::map<std::string, Upstream, std::less<>> m_upstreams;
+    std::set<std::string> m_evacuatedDomains;
     std::set<std::string> m_removed; ///< ids removed by the leader since the last whole directory
 };
 }
--- a/packages/meshnode/healthprobe.cpp
+++ b/packages/meshnode/healthprobe.cpp
@@ -38,7 +38,7 @@
     m_stream->close();
     const UpstreamAnswer answer = m_adapter.readAnswer(message);
     if (complete && message.status == statusOk && !answer.upstreamId.empty()) {
-        onHealthy(answer.upstreamId, answer.load ? answer.load->limit : 0);
+        onHealthy(answer.upstreamId, answer.load ? answer.load->limit : 0, answer.coldLeftMs);
     }
 }
 }
--- a/packages/meshnode/healthprobe.h
+++ b/packages/meshnode/healthprobe.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace Yuccagrade::Mesh
@@ -13,8 +14,9 @@
 class HealthProbe
 {
 public:
-    /// Called with the id and slots of an upstream that responded with status 200; slots are 0 if not stated.
-    std::function<void(const std::string &id, int slots)> onHealthy;
+    /// Called with the id, the slots and the remaining warm-up time of an upstream that responded with status 200; slots are 0 if not
+    /// stated.
+    std::function<void(const std::string &id, int slots, std::optional<double> coldLeftMs)> onHealthy;
 
     HealthProbe(EventLoop &loop, const ProtocolAdapter &adapter);
     /// Sends a health request; a pending one is abandoned.
--- a/packages/meshnode/localupstreams.cpp
+++ b/packages/meshnode/localupstreams.cpp
@@ -36,6 +36,8 @@
 // Limit for all responses that are being read, less than a third of the memory of the smallest process.
 constexpr std::size_t maxHeldResponseBytes = 48U << 20U;
 constexpr double msPerSecond = 1'000;
+// An upstream that is assumed to be cold is listed with a remaining time, also if its service specifies none.
+constexpr double minAssumedColdMs = 1'000;
 }
 
 LocalUpstreams::LocalUpstreams(EventLoop &loop, const ProtocolAdapter &adapter, EventLog &log, Metrics &metrics, Identity identity)
@@ -53,6 +55,9 @@
 void LocalUpstreams::setConfig(std::shared_ptr<const FleetConfig> config)
 {
     m_config = std::move(config);
+    for (auto &[id, upstream] : m_upstreams) {
+        updateRate(id, upstream);
+    }
 }
 
 int LocalUpstreams::limitOf(const Upstream &upstream) const
@@ -68,7 +73,7 @@
 
 UpstreamState LocalUpstreams::stateOf(const Upstream &upstream) const
 {
-    if (m_draining || upstream.departed || upstream.leaving || upstream.info.draining) {
+    if (m_draining || m_evacuated || upstream.departed || upstream.leaving || upstream.info.draining) {
         return UpstreamState::Draining;
     }
     return upstream.reachable ? UpstreamState::Ready : UpstreamState::Unreachable;
@@ -141,10 +146,12 @@
     }
     upstream.lastAnnouncedMs = now();
     upstream.lastContactMs = now();
+    upstream.coldStart.recordStatement(announcement.warmUpLeftMs, announcement.startedAt, now());
     if (restarted) {
         upstream.departed = false;
         upstream.leaving = false;
-        upstream.pacer.setRate(std::nullopt, now());
+        upstream.namedPerS.reset();
+        updateRate(announcement.id, upstream); // before the abandoned calls let queued ones start
         for (const auto &connection : std::exchange(upstream.connections, {})) {
             connection->abandon("upstream restarted");
         }
@@ -156,12 +163,13 @@
                      {"address", announcement.address},
                      {"slots", std::to_string(announcement.slots)}});
     }
+    updateRate(announcement.id, upstream);
     setReachable(announcement.id, upstream, true, "announced");
     if (stateOf(upstream) == UpstreamState::Draining) {
         for (OfferedCall &call : upstream.queue.takeAll()) {
             refuse(call, "upstream drains");
         }
-        if (before != UpstreamState::Draining) {
+        if (before != UpstreamState::Draining && !m_evacuated) {
             m_log.write(Event::UpstreamDraining, {{"upstream", announcement.id}, {"cause", "announced"}});
         }
     }
@@ -171,7 +179,7 @@
     return true;
 }
 
-void LocalUpstreams::addProbedUpstream(const std::string &id, const std::string &address, int slots)
+void LocalUpstreams::addProbedUpstream(const std::string &id, const std::string &address, int slots, std::optional<double> coldLeftMs)
 {
     if (hasUpstreams() || m_formerlyDrained.contains(id)) {
         return;
@@ -182,7 +190,11 @@
     announcement.address = address;
     announcement.domain = m_identity.domain;
     announcement.slots = slots;
+    announcement.warmUpLeftMs = coldLeftMs.value_or(0);
     announce(announcement);
+    if (const auto found = m_upstreams.find(id); found != m_upstreams.end() && !coldLeftMs) {
+        assumeCold(id, found->second, ColdStart::Cause::Probed);
+    }
 }
 
 std::string LocalUpstreams::refusalReason(const Upstream *upstream, const CallMessage &message) const
@@ -196,6 +208,9 @@
     if (upstream->info.service != message.service) {
         return "upstream of another service";
     }
+    if (m_evacuated) {
+        return "domain evacuated";
+    }
     switch (stateOf(*upstream)) {
     case UpstreamState::Draining:
         return "upstream drains";
@@ -219,8 +234,9 @@
         return;
     }
     upstream->newCalls += call.message.offeredBefore ? 0 : 1;
+    updateRate(found->first, *upstream);
     if (exceedsRate(*upstream, call)) {
-        refuse(call, "limit named by the upstream");
+        refuse(call, upstream->wasCold ? "upstream is cold" : "limit named by the upstream");
         return;
     }
     if (mayStart(*upstream) && upstream->queue.empty()) {
@@ -242,6 +258,30 @@
     return wait > 0 && now() + wait > call.startByMs;
 }
 
+double LocalUpstreams::coldRatePerS(const Upstream &upstream) const
+{
+    const ServiceSpec *spec = m_config ? m_config->service(upstream.info.service) : nullptr;
+    return spec ? spec->coldRatePerS : 0;
+}
+
+void LocalUpstreams::updateRate(const std::string &id, Upstream &upstream)
+{
+    const double coldPerS = coldRatePerS(upstream);
+    upstream.pacer.setRate(upstream.coldStart.ratePerS(upstream.namedPerS, coldPerS, now()), now());
+    const bool isCold = coldPerS > 0 && upstream.coldStart.isCold(now());
+    if (std::exchange(upstream.wasCold, isCold) != isCold) {
+        m_metrics.gauge("upstream_cold", isCold ? 1 : 0, "upstream=\"" + id + '"');
+        m_log.write(Event::UpstreamCold, {{"upstream", id}, {"cold", isCold ? "yes" : "no"}, {"per_s", std::to_string(coldPerS)}});
+        onStateChanged();
+    }
+}
+
+void LocalUpstreams::assumeCold(const std::string &id, Upstream &upstream, ColdStart::Cause cause)
+{
+    upstream.coldStart.assumeCold(cause, upstream.info.startedAt);
+    updateRate(id, upstream);
+}
+
 int LocalUpstreams::usableSlots(const Upstream &upstream) const
 {
     const int limit = limitOf(upstream);
@@ -254,10 +294,11 @@
 void LocalUpstreams::applyAnswer(const std::string &id, const UpstreamAnswer &answer)
 {
     Upstream &upstream = m_upstreams[id];
-    if (upstream.pacer.setRate(answer.limitPerS, now())) {
+    if (std::exchange(upstream.namedPerS, answer.limitPerS) != answer.limitPerS) {
         m_metrics.gauge("upstream_limit_per_s", answer.limitPerS.value_or(-1), "upstream=\"" + id + '"');
         m_log.write(Event::UpstreamLimited, {{"upstream", id}, {"per_s", answer.limitPerS ? std::to_string(*answer.limitPerS) : "none"}});
     }
+    updateRate(id, upstream);
     if (answer.leaving && !upstream.leaving) {
         upstream.leaving = true;
         m_log.write(Event::UpstreamDraining, {{"upstream", id}, {"cause", "response"}});
@@ -377,6 +418,7 @@
     }
     if (connectFailed) {
         upstream.retryAtMs = now() + trialPauseMs;
+        assumeCold(id, upstream, ColdStart::Cause::Refused);
         setReachable(id, upstream, false, reply.reason);
     } else if (reply.outcome == CallOutcome::Answered || reply.outcome == CallOutcome::Declined) {
         const double took = now() - connection->sentAtMs();
@@ -451,6 +493,7 @@
     const double elapsed = now() - m_demandMeasuredMs;
     m_demandMeasuredMs = now();
     for (auto &[id, upstream] : m_upstreams) {
+        updateRate(id, upstream);
         const double slots = elapsed > 0 ? upstream.newCalls * upstream.serviceMs / elapsed : 0;
         upstream.demandSlots += (slots - upstream.demandSlots) * demandSmoothing;
         upstream.newCalls = 0;
@@ -510,6 +553,22 @@
     onStateChanged();
 }
 
+void LocalUpstreams::setEvacuated(bool evacuated)
+{
+    if (std::exchange(m_evacuated, evacuated) == evacuated) {
+        return;
+    }
+    for (auto &[id, upstream] : m_upstreams) {
+        if (!evacuated) {
+            assumeCold(id, upstream, ColdStart::Cause::EvacuationEnded);
+        }
+        for (OfferedCall &call : evacuated ? upstream.queue.takeAll() : std::vector<OfferedCall>()) {
+            refuse(call, "domain evacuated");
+        }
+    }
+    onStateChanged();
+}
+
 void LocalUpstreams::scheduleSweep()
 {
     if (m_sweepScheduled) {
@@ -553,7 +612,9 @@
     for (OfferedCall &call : upstream.queue.takeExpired(at)) {
         refuse(call, "no slot in time");
     }
-    if (upstream.pacer.isLimited()) {
+    const bool wasLimited = upstream.pacer.isLimited();
+    updateRate(id, upstream);
+    if (wasLimited) {
         startQueuedCalls(id, upstream);
     }
     const double maxSilence = maxSilenceMs(upstream);
@@ -569,6 +630,7 @@
             connection->abandon("time ran out at the upstream");
         } else if (silent && connection->awaitsFirstByte() && at - connection->sentAtMs() > maxSilence) {
             upstream.retryAtMs = at + trialPauseMs;
+            assumeCold(id, upstream, ColdStart::Cause::Unreachable);
             setReachable(id, upstream, false, "no answer");
         }
     }
@@ -688,14 +750,17 @@
     std::vector<UpstreamEntry> result;
     for (const auto &[id, upstream] : m_upstreams) {
         if (upstream.lastContactMs > 0 && !upstream.departed) {
-            const double coldLeft = std::max(0.0, upstream.info.warmUpLeftMs - (now() - upstream.lastContactMs));
+            const ServiceSpec *spec = m_config ? m_config->service(upstream.info.service) : nullptr;
+            const bool isLimited = spec && spec->coldRatePerS > 0;
+            const double coldLeft = isLimited ? upstream.coldStart.coldLeftMs(std::max(static_cast<double>(spec->warmUpMs), minAssumedColdMs), now())
+                                              : std::max(0.0, upstream.info.warmUpLeftMs - (now() - upstream.lastContactMs));
             result.push_back({id,
                               upstream.info.service,
                               m_identity.domain,
                               m_identity.peerAddress,
                               stateOf(upstream),
                               upstream.info.slots,
-                              std::round(coldLeft / 1'000) * 1'000});
+                              (isLimited ? std::ceil(coldLeft / msPerSecond) : std::round(coldLeft / msPerSecond)) * msPerSecond});
         }
     }
     return result;
--- a/packages/meshnode/localupstreams.h
+++ b/packages/meshnode/localupstreams.h
@@ -2,6 +2,7 @@
 
 #include "base/eventlog.h"
 #include "base/metrics.h"
+#include "coldstart.h"
 #include "mesh/protocoladapter.h"
 #include "requestpacer.h"
 #include "upstreamconnection.h"
@@ -39,8 +40,9 @@
     void setConfig(std::shared_ptr<const FleetConfig> config);
     /// Applies an announcement. Returns false if it is outdated or from another service.
     bool announce(const Announcement &announcement);
-    /// Adds an upstream that answered a health probe, unless an upstream is known already.
-    void addProbedUpstream(const std::string &id, const std::string &address, int slots);
+    /// Adds an upstream that answered a health probe, unless an upstream is known already. Without @p coldLeftMs the response did not
+    /// state the remaining warm-up time.
+    void addProbedUpstream(const std::string &id, const std::string &address, int slots, std::optional<double> coldLeftMs = std::nullopt);
     /// Returns true if an upstream in any state is known.
     bool hasUpstreams() const
     {
@@ -67,6 +69,9 @@
     /// Sets the stored drains of this host, those from before the start of this process included. Their upstreams are used again
     /// only after a newer announcement.
     void setStoredDrains(const std::vector<DrainedUpstream> &drained);
+    /// Stops the use of the upstreams while the failure domain of this host is evacuated: new and queued calls are refused, and running
+    /// ones end. Afterwards the upstreams count as cold until they state otherwise.
+    void setEvacuated(bool evacuated);
     /// Updates the smoothed demand with the calls since the previous measurement; to be called before each report to the
     /// leader.
     void measureDemand();
@@ -99,6 +104,9 @@
         double serviceMs = 0; ///< smoothed service time
         std::map<std::uint32_t, double> serviceMsOfKind; ///< smoothed service time by kind of call
         int active = 0;
+        ColdStart coldStart;
+        bool wasCold = false; ///< when its rate was last determined
+        std::optional<double> namedPerS; ///< rate named in its last response
         RequestPacer pacer;
         UpstreamQueue queue;
         std::list<std::shared_ptr<UpstreamConnection>> connections; ///< most recently used first
@@ -117,10 +125,15 @@
     static std::optional<DrainedUpstream> drainOf(const std::string &id, const Upstream &upstream);
     bool isStored(const DrainedUpstream &drained) const;
     int limitOf(const Upstream &upstream) const;
-    /// Slots that the upstream can use at its named rate.
+    /// Requests per second that a cold upstream of the service tolerates; 0 for no limit.
+    double coldRatePerS(const Upstream &upstream) const;
+    /// Sets the rate of the upstream to the lower one of its named rate and of that of a cold upstream.
+    void updateRate(const std::string &id, Upstream &upstream);
+    void assumeCold(const std::string &id, Upstream &upstream, ColdStart::Cause cause);
+    /// Slots that the upstream can use at its present rate.
     int usableSlots(const Upstream &upstream) const;
     bool mayStart(const Upstream &upstream) const;
-    /// Returns true if the named rate of the upstream does not let the call start in time.
+    /// Returns true if the present rate of the upstream does not let the call start in time.
     bool exceedsRate(const Upstream &upstream, const OfferedCall &call) const;
     void applyAnswer(const std::string &id, const UpstreamAnswer &answer);
     UpstreamState stateOf(const Upstream &upstream) const;
@@ -153,6 +166,7 @@
     bool m_knowsStoredDrains = false;
     double m_demandMeasuredMs = 0;
     bool m_draining = false;
+    bool m_evacuated = false;
     double m_sweepDueMs = 0;
     bool m_sweepScheduled = false;
 };
--- a/packages/meshnode/meshnode.cpp
+++ b/packages/meshnode/meshnode.cpp
@@ -53,6 +53,7 @@
     void logMalformed(const std::string &source);
     SyncMessage buildReport();
     void applySyncReply(const SyncReplyMessage &reply, double sentMs);
+    void applyEvacuations(const SyncReplyMessage &reply);
     void applyDocument(const SyncReplyMessage &reply);
     void applyDirectory(const SyncReplyMessage &reply);
     void handleAnnouncement(const std::shared_ptr<PortExchange> &exchange);
@@ -104,6 +105,8 @@
     std::uint64_t m_directoryVersion = 0;
     std::uint64_t m_directoryTerm = 0;
     std::uint64_t m_configVersion = 0;
+    std::vector<std::string> m_evacuatedDomains;
+    std::uint64_t m_evacuationTerm = 0; ///< of the leader that sent them
     bool m_keysWereFresh = false;
     bool m_statusScheduled = false;
     TimeMs m_drainingSince = 0; ///< 0 while not draining
@@ -200,8 +203,8 @@
                      {"unused", std::to_string(unusedTokens)},
                      {"leader", m_leader.leader()}});
     };
-    m_probe.onHealthy = [this](const std::string &id, int slots) {
-        m_upstreams.addProbedUpstream(id, m_settings.upstreamAddress, slots);
+    m_probe.onHealthy = [this](const std::string &id, int slots, std::optional<double> coldLeftMs) {
+        m_upstreams.addProbedUpstream(id, m_settings.upstreamAddress, slots, coldLeftMs);
     };
     m_leader.onTargetLost = [this] {
         m_broker.teamRateLimiter().startAccount();
@@ -397,6 +400,7 @@
 
 void Node::applySyncReply(const SyncReplyMessage &reply, double sentMs)
 {
+    applyEvacuations(reply); // before the drains, which let this node use its upstream
     if (reply.hasDrained) {
         m_upstreams.setStoredDrains(reply.drained); // before the document, which lets this node probe its upstream
         acknowledgeStoredDrains();
@@ -428,6 +432,28 @@
     logKeyFreshness();
 }
 
+// Ignores the lists of a host that another one may have replaced as leader. The stored drains are only sent by a host that none has
+// replaced.
+void Node::applyEvacuations(const SyncReplyMessage &reply)
+{
+    if (!(reply.isCurrent() || reply.hasDrained) || reply.directoryTerm < m_evacuationTerm) {
+        return;
+    }
+    m_evacuationTerm = reply.directoryTerm;
+    if (reply.evacuatedDomains == m_evacuatedDomains) {
+        return;
+    }
+    m_evacuatedDomains = reply.evacuatedDomains;
+    const bool isOwn = std::find(m_evacuatedDomains.begin(), m_evacuatedDomains.end(), m_settings.domain) != m_evacuatedDomains.end();
+    std::string names;
+    for (const std::string &domain : m_evacuatedDomains) {
+        names += (names.empty() ? "" : " ") + domain;
+    }
+    m_log.write(Event::DomainsEvacuated, {{"domains", names}, {"own", isOwn ? "yes" : "no"}});
+    m_broker.directory().setEvacuatedDomains(m_evacuatedDomains);
+    m_upstreams.setEvacuated(isOwn);
+}
+
 void Node::applyDirectory(const SyncReplyMessage &reply)
 {
     std::string text;
@@ -580,6 +606,7 @@
     m_metrics.gauge("upstream_calls_pending", static_cast<double>(m_upstreams.pending()));
     m_metrics.gauge("caller_connections", static_cast<double>(m_callerPort.connections()));
     m_metrics.gauge("config_version", static_cast<double>(m_configVersion));
+    m_metrics.gauge("evacuated_domains", static_cast<double>(m_evacuatedDomains.size()));
     m_metrics.gauge("key_proof_valid", m_broker.areKeysFresh() ? 1 : 0);
     m_metrics.gauge("directory_upstreams", static_cast<double>(m_broker.directory().size()));
     exchange->respond(responseHead(200, {{"Content-Type", "text/plain; version=0.0.4"}}), m_metrics.text());
--- a/tests/meshnode/decisiontest.cpp
+++ b/tests/meshnode/decisiontest.cpp
@@ -90,6 +90,18 @@
     BOOST_TEST(directory.choose("stock", 1, 400, 1'000, {}, onlySouth, 5'000)->id == "3");
 }
 
+// Guards against calls to the upstreams of an evacuated domain when no other ones are left, and against a domain that stays excluded.
+BOOST_AUTO_TEST_CASE(evacuatedDomainIsNoLastResort)
+{
+    Directory directory("north", Random(1));
+    directory.setEvacuatedDomains({"north"});
+    directory.replace({upstream("1", "north"), upstream("2", "north", UpstreamState::Unreachable), upstream("3", "south")});
+    BOOST_TEST(directory.choose("stock", 1, 400, 1'000, {}, allReachable, 0)->id == "3");
+    BOOST_TEST(!directory.choose("stock", 1, 400, 1'000, {"3"}, allReachable, 0));
+    directory.setEvacuatedDomains({});
+    BOOST_TEST(directory.choose("stock", 1, 400, 1'000, {"3"}, allReachable, 0)->id == "1");
+}
+
 // Guards against removal of upstreams that a new leader does not list because their nodes have not reported to it yet.
 BOOST_AUTO_TEST_CASE(incompleteListsRemoveNothing)
 {
--- a/tests/meshnode/upstreamtest.cpp
+++ b/tests/meshnode/upstreamtest.cpp
@@ -252,6 +252,13 @@
     return response(id, "", "X-Not-Run: 1\r\n", 503);
 }
 
+std::shared_ptr<const FleetConfig> coldLimitedConfig(double coldRatePerS)
+{
+    const auto config = std::make_shared<FleetConfig>();
+    config->services.push_back({"stock", {}, 0, 3'000, coldRatePerS});
+    return config;
+}
+
 struct Fixture {
     Fixture()
         : log(loop.clock(), "test", "-", Severity::Error)
@@ -938,6 +945,104 @@
     BOOST_TEST(fixture.run("c").body == "C");
 }
 
+// Guards against the usual rate for an upstream that returns cold at the same address, before it announces itself; and against one
+// that is left idle, or stays limited when it is warm.
+BOOST_AUTO_TEST_CASE(returningUpstreamIsColdUntilItAnnouncesOtherwise)
+{
+    constexpr double coldRatePerS = 13;
+    constexpr double maxInOneSecond = coldRatePerS * 1.5 + 8;
+    Fixture fixture;
+    fixture.port.setConfig(coldLimitedConfig(coldRatePerS));
+    int received = 0;
+    HookedUpstream upstream(fixture.loop, [&](TcpStream &stream, std::size_t, std::size_t) {
+        ++received;
+        stream.write(response("a", "A"));
+    });
+    fixture.port.announce(fixture.heartbeat("127.0.0.1:1")); // refuses connections
+    BOOST_TEST((fixture.run("a").outcome == CallOutcome::NotOffered));
+    BOOST_TEST((fixture.port.entries().front().state == UpstreamState::Unreachable));
+    fixture.port.announce(fixture.heartbeat(upstream.address(), 2)); // sent before the end of the process
+    BOOST_TEST(fixture.port.entries().front().warmUpLeftMs > 0);
+    const auto offerForOneSecond = [&] {
+        received = 0;
+        const auto offer = fixture.loop.every(5, [&] {
+            fixture.port.offer(fixture.call("a"), 0, [](const ReplyMessage &) {});
+        });
+        fixture.loop.after(1'000, [&] {
+            fixture.loop.stop();
+        });
+        fixture.loop.run();
+        fixture.loop.cancel(offer);
+        return received;
+    };
+    const int whileCold = offerForOneSecond();
+    BOOST_TEST(whileCold <= maxInOneSecond);
+    BOOST_TEST(whileCold >= coldRatePerS / 2);
+    Announcement cold = fixture.heartbeat(upstream.address(), 1, 200);
+    cold.warmUpLeftMs = 60'000;
+    fixture.port.announce(cold);
+    BOOST_TEST(offerForOneSecond() <= maxInOneSecond);
+    fixture.port.announce(fixture.heartbeat(upstream.address(), 2, 200));
+    BOOST_TEST(fixture.port.entries().front().warmUpLeftMs == 0);
+    BOOST_TEST(offerForOneSecond() > maxInOneSecond);
+}
+
+// Guards against the usual rate for a cold upstream beside a node that was restarted, and against a limit in other fleets.
+BOOST_AUTO_TEST_CASE(probedUpstreamIsColdUnlessItStatesOtherwise)
+{
+    const auto coldMsAfterProbe = [](std::optional<double> statedMs, double coldRatePerS) {
+        Fixture fixture;
+        fixture.port.setConfig(coldLimitedConfig(coldRatePerS));
+        fixture.port.addProbedUpstream("i-1", "127.0.0.1:1", 10, statedMs);
+        return fixture.port.entries().front().warmUpLeftMs;
+    };
+    BOOST_TEST(coldMsAfterProbe(std::nullopt, 13) == 3'000);
+    BOOST_TEST(coldMsAfterProbe(1'500, 13) == 2'000);
+    BOOST_TEST(coldMsAfterProbe(0, 13) == 0);
+    BOOST_TEST(coldMsAfterProbe(std::nullopt, 0) == 0);
+}
+
+// Guards against calls that reach an upstream of an evacuated domain from the queue or later, a running call that is cut off, a drain
+// that outlives the evacuation, and the usual rate for upstreams that may have been restarted meanwhile.
+BOOST_AUTO_TEST_CASE(evacuatedUpstreamOnlyFinishesRunningCalls)
+{
+    Fixture fixture;
+    fixture.port.setConfig(coldLimitedConfig(13));
+    TcpStream *waiting = nullptr;
+    HookedUpstream upstream(fixture.loop, [&](TcpStream &stream, std::size_t, std::size_t) {
+        waiting = &stream;
+        fixture.loop.stop();
+    });
+    Announcement single = fixture.heartbeat(upstream.address());
+    single.slots = 1;
+    fixture.port.announce(single);
+    ReplyMessage running;
+    ReplyMessage queued;
+    fixture.port.offer(fixture.call("a"), 0, [&](ReplyMessage reply) {
+        running = std::move(reply);
+        fixture.loop.stop();
+    });
+    fixture.port.offer(fixture.call("b"), 0, [&](ReplyMessage reply) {
+        queued = std::move(reply);
+    });
+    fixture.loop.run();
+    BOOST_REQUIRE(waiting);
+    fixture.port.setEvacuated(true);
+    BOOST_TEST((queued.outcome == CallOutcome::NotOffered));
+    BOOST_TEST(queued.reason == "domain evacuated");
+    BOOST_TEST(fixture.run("c").reason == "domain evacuated");
+    BOOST_TEST((fixture.port.entries().front().state == UpstreamState::Draining));
+    BOOST_TEST(fixture.port.unstoredDrains().empty());
+    waiting->write(response("a", "A"));
+    fixture.loop.run();
+    BOOST_TEST(running.body == "A");
+    fixture.port.setEvacuated(false);
+    BOOST_TEST((fixture.port.entries().front().state == UpstreamState::Ready));
+    BOOST_TEST(fixture.port.entries().front().warmUpLeftMs == 3'000);
+    fixture.port.announce(fixture.heartbeat(upstream.address(), 2));
+    BOOST_TEST(fixture.port.entries().front().warmUpLeftMs == 0);
+}
+
 // Guards against calls to an upstream that says in a response that it leaves, also after a late announcement.
 BOOST_AUTO_TEST_CASE(leavingUpstreamGetsNoCall)
 {
