Control hosts: store evacuations of failure domains and tell the nodes

Orders to evacuate a domain or to take it back were answered 404. Each order is proposed, also one that repeats the present state, and acknowledged after its commit; the list is pushed to the nodes at once and is in each reply of the leader. An order whose caller has left is not proposed, since the opposite order may have overtaken it.

--- a/packages/meshcontrol/documentstore.cpp
+++ b/packages/meshcontrol/documentstore.cpp
@@ -73,6 +73,7 @@
         json["digests"].append(digest);
     }
     json["drains"] = m_drains.save();
+    json["evacuations"] = m_evacuations.save();
     return toText(json);
 }
 
@@ -84,7 +85,8 @@
     std::string encoded;
     if (!parseJson(text, json)
         || !JsonReader(json).read("version", loaded.m_version).read("index", loaded.m_index).read("document", encoded).read("digests", digests).ok()
-        || !decodeDocument(encoded, loaded.m_document) || (json.isMember("drains") && !loaded.m_drains.load(json["drains"]))) {
+        || !decodeDocument(encoded, loaded.m_document) || (json.isMember("drains") && !loaded.m_drains.load(json["drains"]))
+        || (json.isMember("evacuations") && !loaded.m_evacuations.load(json["evacuations"]))) {
         return false;
     }
     loaded.m_digests.insert(digests.begin(), digests.end());
--- a/packages/meshcontrol/documentstore.h
+++ b/packages/meshcontrol/documentstore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "drainstore.h"
+#include "evacuationstore.h"
 
 #include <cstdint>
 #include <json/json.h>
@@ -24,7 +25,7 @@
 enum class SubmissionResult { Accepted, Conflict, OldVersion };
 
 /// The replicated state machine of the control hosts. Holds the current document, the digests of all accepted ones, so
-/// that resubmitting an accepted document is never rejected, and the drained upstreams.
+/// that resubmitting an accepted document is never rejected, the drained upstreams and the evacuated domains.
 class DocumentStore
 {
 public:
@@ -53,6 +54,10 @@
     {
         return m_drains;
     }
+    EvacuationStore &evacuations()
+    {
+        return m_evacuations;
+    }
     /// Serializes the state for load().
     std::string save() const;
     /// Replaces the state by a serialized one. Returns false and leaves the state unchanged if the text is malformed.
@@ -64,5 +69,6 @@
     std::string m_document;
     std::set<std::string> m_digests;
     DrainStore m_drains;
+    EvacuationStore m_evacuations;
 };
 }
--- a/packages/meshcontrol/meshcontrol.cpp
+++ b/packages/meshcontrol/meshcontrol.cpp
@@ -13,6 +13,7 @@
 #include "tokenledger.h"
 
 #include <algorithm>
+#include <optional>
 #include <set>
 
 namespace Yuccagrade::Mesh
@@ -33,6 +34,9 @@
 constexpr TimeMs nodeTimeoutCheckPeriodMs = 500;
 // Time after SIGTERM for which operator requests are still answered.
 constexpr TimeMs stopGraceMs = 300;
+constexpr TimeMs orderDelayMs = 1;
+// Characters of a refused domain name that are logged.
+constexpr std::size_t maxLoggedDomain = 64;
 
 /// Connection of a process that reports to this host.
 struct Session {
@@ -41,6 +45,7 @@
     std::uint64_t configIndex = 0;
     bool awaitsDrained = false; ///< the node reported drains, or asked for those from before its start
     DirectoryCursor directory;
+    std::uint64_t evacuationIndex = 0; ///< of the evacuated domains that were sent
     TimeMs reportedAt = 0;
 };
 
@@ -71,6 +76,9 @@
     void publish(const ExchangePtr &exchange, const OperatorCall &call);
     void proposalFinished(const ExchangePtr &exchange, const Submission &submission, std::error_code error, std::uint64_t index);
     void answerSubmission(const ExchangePtr &exchange, const Submission &submission, SubmissionResult result);
+    void orderEvacuation(const ExchangePtr &exchange, const OperatorCall &call);
+    void answerEvacuation(const ExchangePtr &exchange, const EvacuationOrder &order, std::error_code error, std::optional<EvacuationResult> result);
+    void applyEvacuation(std::uint64_t index, const EvacuationOrder &order);
     void answerMetrics(const ExchangePtr &exchange);
     void loadTeamRates();
     void storeDrains(const SyncMessage &message);
@@ -102,6 +110,7 @@
     std::uint64_t m_lastLinkId = 0;
     std::set<std::string> m_proposedDrains; ///< peer addresses of the nodes whose drains are being stored
     std::map<std::uint64_t, SubmissionResult> m_submissionResults; ///< by log index, for operators waiting on this host
+    std::map<std::uint64_t, EvacuationResult> m_evacuationResults; ///< as m_submissionResults
     std::map<std::uint64_t, std::string> m_documents; ///< the present one and some before it, by log index
     std::map<std::uint64_t, std::string> m_compressedDocuments; ///< the present one, by SyncReplyMessage::documentBase
     DirectoryHistory m_directoryHistory;
@@ -160,6 +169,11 @@
             schedulePush();
             return;
         }
+        EvacuationOrder evacuation;
+        if (command.isObject() && EvacuationOrder::fromJson(command, evacuation)) {
+            applyEvacuation(index, evacuation);
+            return;
+        }
         Submission submission;
         if (command.isNull() || !Submission::fromJson(command, submission)) {
             return;
@@ -200,6 +214,7 @@
         m_levels = LevelController();
         loadTeamRates();
         m_submissionResults.clear();
+        m_evacuationResults.clear();
         m_proposedDrains.clear();
         m_directoryHistory = DirectoryHistory();
         m_compressedDirectories.clear();
@@ -554,6 +569,8 @@
         reply.hasDrained = true;
         reply.drained = m_store.drains().drained(session.peerAddress);
     }
+    reply.evacuatedDomains = m_store.evacuations().domains();
+    session.evacuationIndex = m_group.isCurrent() ? m_store.evacuations().index() : session.evacuationIndex;
     reply.controlHosts = m_group.hosts();
     reply.levels = m_levels.levels(m_loop.clock().now());
     reply.needsFullDemand = needsFullDemand;
@@ -588,8 +605,9 @@
         if (session.peerAddress.empty() || m_loop.clock().now() - session.reportedAt > updateValidMs) {
             continue;
         }
+        const std::uint64_t sentEvacuations = session.evacuationIndex;
         const SyncReplyMessage reply = makeReply(session, 0);
-        if (reply.hasDocument || reply.hasDirectory || reply.hasDrained) {
+        if (reply.hasDocument || reply.hasDirectory || reply.hasDrained || session.evacuationIndex != sentEvacuations) {
             session.link->send(FrameType::SyncReply, encode(reply));
         }
     }
@@ -598,13 +616,20 @@
 void ControlHost::handleOperatorCall(const ExchangePtr &exchange)
 {
     const OperatorCall call = m_adapter.readOperatorCall(exchange->request());
-    const bool isEvacuation = call.kind == OperatorCall::Kind::StartEvacuation || call.kind == OperatorCall::Kind::EndEvacuation;
-    if (call.kind == OperatorCall::Kind::Unknown || isEvacuation) {
+    if (call.kind == OperatorCall::Kind::Unknown) {
         exchange->respond(responseHead(404), {});
     } else if (!m_leads || !m_group.replica().isReady() || m_stopping) {
         redirect(exchange);
     } else if (call.kind == OperatorCall::Kind::Read) {
         answerDocument(exchange);
+    } else if (call.kind == OperatorCall::Kind::StartEvacuation || call.kind == OperatorCall::Kind::EndEvacuation) {
+        // The operators send an order again after a second. One whose caller has left meanwhile may have been overtaken by the opposite
+        // order, so it is proposed only if its connection is still open in the next turn of the loop.
+        m_loop.after(orderDelayMs, [this, exchange, call] {
+            if (!exchange->isFinished()) {
+                orderEvacuation(exchange, call);
+            }
+        });
     } else {
         publish(exchange, call);
     }
@@ -697,8 +722,61 @@
     exchange->respond(responseHead(conflict ? 412 : 400), {});
 }
 
+void ControlHost::applyEvacuation(std::uint64_t index, const EvacuationOrder &order)
+{
+    const EvacuationResult result = m_store.evacuations().apply(index, order);
+    if (m_leads) {
+        m_evacuationResults[index] = result;
+    }
+    m_log.write(Event::EvacuationOrdered,
+                {{"domain", order.domain},
+                 {"order", std::string(evacuationOrderKindName(order.kind))},
+                 {"result", std::string(evacuationResultName(result))},
+                 {"index", std::to_string(index)},
+                 {"evacuated", std::to_string(m_store.evacuations().domains().size())}});
+    schedulePush();
+}
+
+// An order that repeats the present state is proposed too: its commit proves that a majority has stored that state.
+void ControlHost::orderEvacuation(const ExchangePtr &exchange, const OperatorCall &call)
+{
+    const bool starts = call.kind == OperatorCall::Kind::StartEvacuation;
+    const EvacuationOrder order{starts ? EvacuationOrder::Kind::Start : EvacuationOrder::Kind::End, call.domain};
+    const EvacuationResult expected = m_store.evacuations().check(order);
+    if (expected != EvacuationResult::Applied) {
+        // Another leader may have taken domains back meanwhile.
+        const bool isFinal = expected == EvacuationResult::InvalidDomain || m_group.isCurrent();
+        answerEvacuation(exchange, order, {}, isFinal ? std::optional(expected) : std::nullopt);
+        return;
+    }
+    const auto error = m_group.replica().propose(order.toJson(), [this, exchange, order](std::error_code outcome, std::uint64_t index) {
+        const auto found = m_evacuationResults.extract(index);
+        answerEvacuation(exchange, order, outcome, found ? std::optional(found.mapped()) : std::nullopt);
+    });
+    if (error) {
+        answerEvacuation(exchange, order, error, std::nullopt);
+    }
+}
+
+// Without a result the order may still be committed by another leader, so the operator has to send it again.
+void ControlHost::answerEvacuation(const ExchangePtr &exchange, const EvacuationOrder &order, std::error_code error, std::optional<EvacuationResult> result)
+{
+    if (!error && result == EvacuationResult::Applied) {
+        m_metrics.count("evacuation_orders_total", "result=\"applied\"");
+        exchange->respond(responseHead(200, {{"Content-Type", "application/json"}}), "{}");
+        return;
+    }
+    const bool isUnknown = error || !result;
+    const std::string cause = isUnknown ? (error ? error.message() : "no result for the log entry") : std::string(evacuationResultName(*result));
+    m_metrics.count("evacuation_orders_total", isUnknown ? "result=\"unknown\"" : "result=\"refused\"");
+    m_log.write(Event::EvacuationOrdered,
+                {{"domain", order.domain.substr(0, maxLoggedDomain)}, {"order", std::string(evacuationOrderKindName(order.kind))}, {"result", cause}});
+    exchange->respond(responseHead(isUnknown ? 503 : 400), {});
+}
+
 void ControlHost::answerMetrics(const ExchangePtr &exchange)
 {
+    m_metrics.gauge("evacuated_domains", static_cast<double>(m_store.evacuations().domains().size()));
     m_memoryGuard.updateMetrics();
     m_metrics.gauge("leads", m_leads ? 1 : 0);
     m_metrics.gauge("config_version", static_cast<double>(m_store.version()));
--- a/tests/integration/mesh_operator.cpp
+++ b/tests/integration/mesh_operator.cpp
@@ -309,6 +309,39 @@
     }
     return count;
 }
+
+/// Returns the status of the answer to an order, 0 without one.
+long order(const Host &control, const std::string &path)
+{
+    return Test::httpCall({.method = "POST", .address = control.operatorAddress, .path = path, .timeoutMs = 1'000, .freshConnection = true}).status;
+}
+
+/// Sends an order to @p controls in turn until one of them acknowledges it.
+bool isAcknowledged(const std::vector<Host *> &controls, const std::string &path)
+{
+    return Test::waitFor(
+        [&] {
+            return std::any_of(controls.begin(), controls.end(), [&path](const Host *control) {
+                return order(*control, path) == 200;
+            });
+        },
+        leaderBoundMs);
+}
+
+/// Waits until each of @p nodes has been told that @p count domains are evacuated. Returns false if that takes longer than operators
+/// are promised.
+bool haveEvacuated(const std::vector<const Host *> &nodes, int count)
+{
+    constexpr double evacuateMs = 5'000;
+    const std::string line = "evacuated_domains " + std::to_string(count) + '\n';
+    return Test::waitFor(
+        [&] {
+            return std::all_of(nodes.begin(), nodes.end(), [&line](const Host *node) {
+                return Test::httpCall({.address = node->ip + ":9100", .path = "/metrics", .freshConnection = true}).body.find(line) != std::string::npos;
+            });
+        },
+        evacuateMs);
+}
 }
 
 // Guards against a former leader that wakes and refuses changes which the present leader accepted or would accept.
@@ -571,3 +604,63 @@
     }
     BOOST_TEST(Test::steadyMs() - stoppedMs < 5'300);
 }
+
+// Guards against an acknowledged evacuation that is lost with its leader or when all control hosts are restarted, a repeated order
+// that is refused, nodes that are not told, and callers in the domain that are not served meanwhile.
+BOOST_FIXTURE_TEST_CASE(evacuationOutlivesTheLeader, OperatedMesh)
+{
+    const auto isServed = [](const Host &node) {
+        return Test::waitFor(
+            [&] {
+                return Test::httpCall({.address = node.callerAddress,
+                                       .path = "/read/a",
+                                       .headers = {"Host: a.example", "X-Yuccagrade-Request-Id: a", "Authorization: Bearer key-0"},
+                                       .freshConnection = true})
+                           .status
+                    == 200;
+            },
+            startBoundMs);
+    };
+    Host &former = leader();
+    const Host &caller = *nodes().front();
+    const std::string start = "/Evacuations.Start/" + caller.domain;
+    BOOST_TEST(order(former, "/Evacuations.Start/") == 400);
+    BOOST_TEST(order(former, "/Evacuations.Start/a%20b") == 400);
+    BOOST_TEST(order(*controlsBeside(former).front(), start) == 307);
+    BOOST_TEST(order(former, start) == 200);
+    BOOST_TEST(order(former, start) == 200);
+    fleet().kill(former);
+    BOOST_TEST(isAcknowledged(controlsBeside(former), start));
+    BOOST_TEST(haveEvacuated(nodes(), 1));
+    BOOST_TEST(isServed(caller));
+    std::vector<Host *> controls = controlsBeside(former);
+    controls.push_back(&former);
+    for (Host *control : controls) {
+        fleet().kill(*control);
+    }
+    for (Host *control : controls) {
+        fleet().start(*control, false);
+    }
+    BOOST_REQUIRE(isAcknowledged(controls, "/Evacuations.Start/other"));
+    BOOST_TEST(haveEvacuated(nodes(), 2));
+    BOOST_TEST(isAcknowledged(controls, "/Evacuations.End/" + caller.domain));
+    BOOST_TEST(isAcknowledged(controls, "/Evacuations.End/other"));
+    BOOST_TEST(haveEvacuated(nodes(), 0));
+}
+
+// Guards against an order that a former leader has proposed and that takes effect after the opposite order was acknowledged: the
+// leader is lost between proposal and commit, and the second copy of the start is committed by its successor before the end.
+BOOST_FIXTURE_TEST_CASE(uncommittedEvacuationIsNotApplied, OperatedMesh)
+{
+    Host &former = leader();
+    setPaths(former, {.cut = Test::FaultRule::Cut::Stall});
+    const long status = order(former, "/Evacuations.Start/a");
+    BOOST_TEST((status == 0 || status == 503), "status " << status);
+    BOOST_TEST(isAcknowledged(controlsBeside(former), "/Evacuations.Start/a"));
+    BOOST_TEST(isAcknowledged(controlsBeside(former), "/Evacuations.End/a"));
+    setPaths(former, {});
+    leader(); // all hosts follow it, the former leader included
+    BOOST_TEST(haveEvacuated(nodes(), 0));
+    BOOST_TEST(isAcknowledged(controlsBeside(former), "/Evacuations.Start/b"));
+    BOOST_TEST(haveEvacuated(nodes(), 1));
+}
