mesh_operator: no call reaches an evacuated domain, eight orders at once

Guards against calls that are sent to an evacuated domain while its callers are served, and against orders in progress that block each other.

--- a/tests/integration/mesh_operator.cpp
+++ b/tests/integration/mesh_operator.cpp
@@ -606,15 +606,18 @@
 }
 
 // Guards against an acknowledged evacuation that is lost with its leader or when all control hosts are restarted, a repeated order
-// that is refused, nodes that are not told, and callers in the domain that are not served meanwhile.
+// that is refused, orders that block each other, nodes that are not told, calls that reach the domain, and callers in it that are
+// not served meanwhile.
 BOOST_FIXTURE_TEST_CASE(evacuationOutlivesTheLeader, OperatedMesh)
 {
-    const auto isServed = [](const Host &node) {
+    int lastId = 0;
+    const auto isServed = [&lastId](const Host &node) {
         return Test::waitFor(
             [&] {
+                const std::string id = "e" + std::to_string(++lastId);
                 return Test::httpCall({.address = node.callerAddress,
-                                       .path = "/read/a",
-                                       .headers = {"Host: a.example", "X-Yuccagrade-Request-Id: a", "Authorization: Bearer key-0"},
+                                       .path = "/read/" + id,
+                                       .headers = {"Host: a.example", "X-Yuccagrade-Request-Id: " + id, "Authorization: Bearer key-0"},
                                        .freshConnection = true})
                            .status
                     == 200;
@@ -632,7 +635,24 @@
     fleet().kill(former);
     BOOST_TEST(isAcknowledged(controlsBeside(former), start));
     BOOST_TEST(haveEvacuated(nodes(), 1));
-    BOOST_TEST(isServed(caller));
+    const auto callsIn = [this](const std::string &domain) {
+        const std::string name = "\nupstream_service_ms_count ";
+        int calls = 0;
+        for (const Host *node : nodes()) {
+            const std::string text = Test::httpCall({.address = node->ip + ":9100", .path = "/metrics", .freshConnection = true}).body;
+            const std::size_t at = text.find(name);
+            calls += node->domain == domain && at != std::string::npos ? std::stoi(text.substr(at + name.size())) : 0;
+        }
+        return calls;
+    };
+    const int before = callsIn(caller.domain);
+    for (int i = 0; i < 3; ++i) {
+        for (const Host *node : nodes()) {
+            BOOST_TEST(isServed(*node));
+        }
+    }
+    BOOST_TEST(callsIn(caller.domain) == before);
+    BOOST_TEST(callsIn(controlsBeside(former).front()->domain) + callsIn(controlsBeside(former).back()->domain) > 0);
     std::vector<Host *> controls = controlsBeside(former);
     controls.push_back(&former);
     for (Host *control : controls) {
@@ -646,6 +666,15 @@
     BOOST_TEST(isAcknowledged(controls, "/Evacuations.End/" + caller.domain));
     BOOST_TEST(isAcknowledged(controls, "/Evacuations.End/other"));
     BOOST_TEST(haveEvacuated(nodes(), 0));
+    const Host &present = leader();
+    std::vector<std::future<long>> orders;
+    for (int i = 0; i < 8; ++i) {
+        orders.push_back(std::async(std::launch::async, order, std::cref(present), "/Evacuations.Start/d" + std::to_string(i)));
+    }
+    for (auto &status : orders) {
+        BOOST_TEST(status.get() == 200);
+    }
+    BOOST_TEST(haveEvacuated(nodes(), 8));
 }
 
 // Guards against an order that a former leader has proposed and that takes effect after the opposite order was acknowledged: the
