--- a/tests/integration/mesh_operator.cpp
+++ b/tests/integration/mesh_operator.cpp
@@ -667,9 +667,9 @@
     BOOST_TEST(isAcknowledged(controls, "/Evacuations.End/other"));
     BOOST_TEST(haveEvacuated(nodes(), 0));
     const Host &present = leader();
-    std::vector<std::future<long>> orders;
-    for (int i = 0; i < 8; ++i) {
-        orders.push_back(std::async(std::launch::async, order, std::cref(present), "/Evacuations.Start/d" + std::to_string(i)));
+    std::array<std::future<long>, 8> orders;
+    for (std::size_t i = 0; i < orders.size(); ++i) {
+        orders[i] = std::async(std::launch::async, order, std::cref(present), "/Evacuations.Start/d" + std::to_string(i));
     }
     for (auto &status : orders) {
         BOOST_TEST(status.get() == 200);
