Send large frames between processes in pieces

Cause: a link wrote each frame whole, so a short reply behind a response of many MB waited until that was sent. Frames above 32 KiB are sent in pieces that take turns, and short frames are written between them. Frames that rely on the order of sending keep it. Frames in transfer are bounded at both ends. The system queues at most 128 KiB per link that were not transmitted yet.

--- a/packages/base/eventlog.cpp
+++ b/packages/base/eventlog.cpp
@@ -110,6 +110,8 @@
     {Event::RequestMalformed, Info, "request-malformed", "A caller's request could not be read."},
     {Event::DenialOutdated, Warning, "denial-outdated", "A configuration that arrived later knows a route or key refused as unknown."},
     {Event::ResponseUnsigned, Warning, "response-unsigned", "An upstream's response had no signature or no request id."},
+    {Event::LargeFrameSent, Debug, "large-frame-sent", "A call or reply was sent in pieces to another process."},
+    {Event::RegionUnavailable, Warning, "region-unavailable", "No upstream in the allowed regions can take the request."},
 };
 
 log4cplus::LogLevel logLevel(Severity severity)
--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -88,6 +88,8 @@
     RequestMalformed = 720,
     DenialOutdated = 721,
     ResponseUnsigned = 722,
+    LargeFrameSent = 730,
+    RegionUnavailable = 731,
 };
 
 /// Severity of an event.
--- a/packages/mesh/framelink.cpp
+++ b/packages/mesh/framelink.cpp
@@ -10,12 +10,16 @@
 {
 constexpr std::size_t headerBytes = 5;
 constexpr unsigned char compressedFlag = 0x80;
+constexpr unsigned char pieceFlag = 0x40;
+constexpr std::size_t pieceHeaderBytes = 8;
+// Pieces are written while fewer bytes are queued. A short frame waits for these at most.
+constexpr std::size_t maxQueuedPieceBytes = 2 * framePieceBytes;
+// A short frame also waits for what the system has queued, by default up to several MB.
+constexpr int systemQueueBytes = 131'072;
 // Larger payloads are not compressed: they are mostly bodies, which are dissimilar, or already compressed.
 constexpr std::size_t maxCompressedBytes = 2'048;
 // Full reports list all teams of a node.
 constexpr std::size_t maxCompressedReportBytes = 32'768;
-// Above the size of the largest call with body and header.
-constexpr std::size_t maxFrameBytes = 80U << 20U;
 // A peer that owes an answer and sends nothing for this time is pinged.
 constexpr TimeMs pingAfterMs = 250;
 // The link is closed if nothing is received for this time, which leaves TCP time to resend a packet that was lost twice.
@@ -57,6 +61,12 @@
             self->read(data);
         }
     };
+    m_stream->limitSystemQueue(systemQueueBytes);
+    m_stream->onDrained = [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->sendPieces();
+        }
+    };
     m_stream->onConnected = [weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->connected();
@@ -74,18 +84,55 @@
     if (!isOpen()) {
         return;
     }
+    if (m_splitter.mustQueue(type, payload.size())) {
+        m_splitter.add(type, payload);
+        sendPieces();
+    } else {
+        sendWhole(type, payload);
+    }
+}
+
+void FrameLink::sendWhole(FrameType type, std::string_view payload)
+{
     const std::size_t maxBytes = type == FrameType::Sync ? maxCompressedReportBytes : maxCompressedBytes;
     const bool compressed = m_compressor && !payload.empty() && payload.size() <= maxBytes;
     const std::string packed = compressed ? m_compressor->add(payload) : std::string();
     const std::string_view content = compressed ? packed : payload;
+    writeFrame(static_cast<unsigned char>(type) | (compressed ? compressedFlag : 0), {}, content);
+    if (onSent) {
+        onSent(type, headerBytes + content.size());
+    }
+}
+
+void FrameLink::writeFrame(unsigned char kind, std::string_view prefix, std::string_view content)
+{
     char header[headerBytes];
-    const std::uint32_t length = htonl(static_cast<std::uint32_t>(content.size()));
+    const std::uint32_t length = htonl(static_cast<std::uint32_t>(prefix.size() + content.size()));
     std::memcpy(header, &length, sizeof length);
-    header[headerBytes - 1] = static_cast<char>(static_cast<unsigned char>(type) | (compressed ? compressedFlag : 0));
+    header[headerBytes - 1] = static_cast<char>(kind);
     m_stream->write({header, headerBytes});
+    if (!prefix.empty()) {
+        m_stream->write(prefix);
+    }
     m_stream->write(content);
-    if (onSent) {
-        onSent(type, headerBytes + content.size());
+}
+
+void FrameLink::sendPieces()
+{
+    while (isOpen() && !m_splitter.isEmpty() && m_stream->unsent() < maxQueuedPieceBytes) {
+        const FrameSplitter::Piece piece = m_splitter.next();
+        if (piece.isWhole) {
+            sendWhole(piece.type, piece.content);
+            continue;
+        }
+        const std::uint32_t numbers[] = {htonl(piece.frameId), htonl(static_cast<std::uint32_t>(piece.remaining))};
+        char prefix[pieceHeaderBytes];
+        std::memcpy(prefix, numbers, sizeof prefix);
+        writeFrame(static_cast<unsigned char>(piece.type) | pieceFlag, {prefix, sizeof prefix}, piece.content);
+        if (piece.isLast && onSent) {
+            const std::size_t pieces = (piece.frameBytes + framePieceBytes - 1) / framePieceBytes;
+            onSent(piece.type, piece.frameBytes + pieces * (headerBytes + pieceHeaderBytes));
+        }
     }
 }
 
@@ -130,9 +177,27 @@
     m_input.erase(0, offset);
 }
 
+// Returns false if the piece is malformed.
+bool FrameLink::readPiece(FrameType type, std::string_view payload)
+{
+    if (payload.size() < pieceHeaderBytes) {
+        return false;
+    }
+    std::uint32_t numbers[2];
+    std::memcpy(numbers, payload.data(), sizeof numbers);
+    std::optional<std::string> whole;
+    if (!m_assembler.add(type, ntohl(numbers[0]), ntohl(numbers[1]), payload.substr(pieceHeaderBytes), whole)) {
+        return false;
+    }
+    return !whole || readFrame(static_cast<unsigned char>(type), *whole);
+}
+
 // Returns false if the frame is malformed.
 bool FrameLink::readFrame(unsigned char kind, std::string_view payload)
 {
+    if (kind & pieceFlag) {
+        return readPiece(static_cast<FrameType>(kind & ~pieceFlag), payload);
+    }
     const auto type = static_cast<FrameType>(kind & ~compressedFlag);
     std::string content;
     if (kind & compressedFlag) {
@@ -184,6 +249,8 @@
     if (m_stream) {
         m_stream->close();
     }
+    m_splitter.clear();
+    m_assembler.clear();
 }
 
 void FrameLink::fail()
--- a/packages/mesh/framelink.h
+++ b/packages/mesh/framelink.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/deflatestream.h"
+#include "framepieces.h"
 #include "messages.h"
 #include "net/tcp.h"
 
@@ -14,7 +15,8 @@
 namespace Yuccagrade::Mesh
 {
 /// A connection between two processes of the mesh that carries frames: 4 bytes length (network byte order), 1 byte type,
-/// payload. The high bit of the type marks a compressed payload.
+/// payload. The high bit of the type marks a compressed payload, the next one a piece of a large frame: 4 bytes number of the
+/// frame, 4 bytes number of its bytes from this piece on, content. Short frames are sent between the pieces of large ones.
 class FrameLink : public std::enable_shared_from_this<FrameLink>
 {
 public:
@@ -53,12 +55,12 @@
     /// Returns the number of bytes queued for sending.
     std::size_t unsent() const
     {
-        return m_stream ? m_stream->unsent() : 0;
+        return (m_stream ? m_stream->unsent() : 0) + m_splitter.unsent();
     }
     /// Returns the memory held for frames that are being read or sent.
     std::size_t heldBytes() const
     {
-        return m_input.size() + unsent();
+        return m_input.size() + (m_stream ? m_stream->unsent() : 0) + m_splitter.heldBytes() + m_assembler.heldBytes();
     }
     /// Sends a ping if a peer that owes an answer has sent nothing for some time, and closes the link if nothing follows.
     void checkLiveness(bool answerExpected);
@@ -75,7 +77,11 @@
     FrameLink(std::shared_ptr<TcpStream> stream, const Clock &clock);
     void start();
     void connected();
+    void sendWhole(FrameType type, std::string_view payload);
+    void sendPieces();
+    void writeFrame(unsigned char kind, std::string_view prefix, std::string_view content);
     void read(std::string_view data);
+    bool readPiece(FrameType type, std::string_view payload);
     bool readFrame(unsigned char kind, std::string_view payload);
 
     std::shared_ptr<TcpStream> m_stream;
@@ -83,6 +89,8 @@
     std::unique_ptr<StreamCompressor> m_compressor;
     std::unique_ptr<StreamDecompressor> m_decompressor;
     std::string m_input;
+    FrameSplitter m_splitter;
+    FrameAssembler m_assembler;
     TimeMs m_lastReceivedAt;
     std::uint64_t m_sentAtCheck = 0; ///< bytes sent at the last liveness check
     TimeMs m_pingedAt = 0;
--- a/packages/meshnode/meshnode.cpp
+++ b/packages/meshnode/meshnode.cpp
@@ -301,6 +301,10 @@
     m_metrics.count("frame_bytes_total",
                     "kind=\"" + std::string(frameTypeName(type)) + "\",compressed=\"" + (compressed ? "yes" : "no") + '"',
                     static_cast<double>(bytes));
+    if (bytes > framePieceBytes) {
+        m_metrics.count("large_frames_total", "kind=\"" + std::string(frameTypeName(type)) + '"');
+        m_log.write(Event::LargeFrameSent, {{"kind", std::string(frameTypeName(type))}, {"bytes", std::to_string(bytes)}});
+    }
 }
 
 void Node::acceptPeer(std::shared_ptr<TcpStream> stream)
@@ -579,6 +583,7 @@
     m_metrics.gauge("calls_pending", static_cast<double>(m_broker.pending()));
     m_metrics.gauge("upstream_calls_pending", static_cast<double>(m_upstreams.pending()));
     m_metrics.gauge("caller_connections", static_cast<double>(m_callerPort.connections()));
+    m_metrics.gauge("peer_unsent_bytes", static_cast<double>(unsentToPeers()));
     m_metrics.gauge("config_version", static_cast<double>(m_configVersion));
     m_metrics.gauge("key_proof_valid", m_broker.areKeysFresh() ? 1 : 0);
     m_metrics.gauge("directory_upstreams", static_cast<double>(m_broker.directory().size()));
--- a/packages/net/tcp.cpp
+++ b/packages/net/tcp.cpp
@@ -210,6 +210,8 @@
     releaseSent();
     if (m_lingering) {
         ::shutdown(m_descriptor, SHUT_WR);
+    } else if (const auto hook = onDrained) {
+        hook();
     }
 }
 
@@ -253,6 +255,7 @@
     onData = nullptr;
     onConnected = nullptr;
     onClosed = nullptr;
+    onDrained = nullptr;
 }
 
 void TcpStream::closeAfterWrites()
@@ -264,6 +267,7 @@
     m_paused = false;
     onData = nullptr;
     onClosed = nullptr;
+    onDrained = nullptr;
     m_lingerProgressAt = m_loop.clock().now();
     m_lingerSent = m_sent;
     scheduleLingerCheck();
@@ -293,6 +297,11 @@
     scheduleLingerCheck();
 }
 
+void TcpStream::limitSystemQueue(int bytes)
+{
+    setOption(m_descriptor, IPPROTO_TCP, TCP_NOTSENT_LOWAT, bytes);
+}
+
 void TcpStream::pauseReading(bool paused)
 {
     m_paused = paused;
--- a/packages/net/tcp.h
+++ b/packages/net/tcp.h
@@ -30,6 +30,8 @@
     std::function<void()> onConnected;
     /// The peer closed the connection or it broke. @p clean is false for a reset or a time-out. The stream is closed.
     std::function<void(bool clean)> onClosed;
+    /// All queued bytes were handed to the system.
+    std::function<void()> onDrained;
 
     /// Queues bytes; they are written together at the end of the present event.
     void write(std::string_view data);
@@ -62,6 +64,8 @@
     {
         return m_sent;
     }
+    /// Limits the bytes that the system queues before their first transmission. More remain in unsent().
+    void limitSystemQueue(int bytes);
     /// Stops or resumes reading; while reading is paused a close of the peer is not seen.
     void pauseReading(bool paused);
 
--- a/tests/meshnode/upstreamtest.cpp
+++ b/tests/meshnode/upstreamtest.cpp
@@ -1,5 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
+#include "mesh/framelink.h"
 #include "meshnode/localupstreams.h"
 
 #include <algorithm>
@@ -581,6 +582,37 @@
     BOOST_TEST(reasons.front() == "no slot in time");
 }
 
+// Guards against a slot that stays occupied while a node or caller reads a response slowly or not at all.
+BOOST_AUTO_TEST_CASE(slotIsFreeOnceTheResponseIsRead)
+{
+    Fixture fixture;
+    int requests = 0;
+    HookedUpstream upstream(fixture.loop, [&requests](TcpStream &stream, std::size_t, std::size_t) {
+        stream.write(response(++requests == 1 ? "large" : "next", std::string(4U << 20U, 'x')));
+    });
+    Announcement announcement = fixture.heartbeat(upstream.address());
+    announcement.slots = 1;
+    fixture.port.announce(announcement);
+    std::shared_ptr<TcpStream> reader;
+    std::shared_ptr<FrameLink> toReader;
+    TcpListener listener(fixture.loop, [&](std::shared_ptr<TcpStream> stream) {
+        toReader = FrameLink::open(std::move(stream), fixture.loop.clock());
+        fixture.loop.stop();
+    });
+    BOOST_REQUIRE(!listener.listen("127.0.0.1:0"));
+    reader = TcpStream::connect(fixture.loop, listener.address(), {});
+    reader->pauseReading(true);
+    fixture.loop.run();
+    BOOST_REQUIRE(toReader);
+    fixture.port.offer(fixture.call("large"), 0, [&](const ReplyMessage &reply) {
+        toReader->send(FrameType::Reply, encode(reply));
+    });
+    // The only slot is used by the second call while the first response is unread.
+    BOOST_TEST(fixture.run("next").body.size() == 4U << 20U);
+    BOOST_TEST(toReader->unsent() > 0U);
+    BOOST_TEST(requests == 2);
+}
+
 // Guards against calls that wait behind one that the upstream does not answer: it answers nothing more on that connection.
 BOOST_AUTO_TEST_CASE(muteConnectionHoldsUpNoOtherCall)
 {
