Keep requests to the allowed regions of their route and team

Cause: Route::regions and Team::regions were read and ignored. The settings name the region of each domain (regions), the choice of an upstream skips domains outside the allowed regions, and a request for which no domain is allowed is refused with 503 at once.

The rendering of deploy/mesh.ini.in was not run.

--- a/packages/config/optiontable.cpp
+++ b/packages/config/optiontable.cpp
@@ -51,6 +51,12 @@
     return separator != std::string_view::npos && isName(text.substr(0, separator)) && isAddress(text.substr(separator + 1));
 }
 
+bool isNamePair(std::string_view text)
+{
+    const auto separator = text.find('=');
+    return separator != std::string_view::npos && isName(text.substr(0, separator)) && isName(text.substr(separator + 1));
+}
+
 // A blank could start a comment for inih, and `*` stands for a prefix at the end only.
 bool isUrlPath(std::string_view text)
 {
@@ -105,6 +111,8 @@
         return isAddress(item);
     case OptionType::MemberList:
         return isMember(item);
+    case OptionType::NamePairList:
+        return isNamePair(item);
     }
     return false;
 }
@@ -141,7 +149,7 @@
 
 bool isList(OptionType type)
 {
-    return type == OptionType::NameList || type == OptionType::AddressList || type == OptionType::MemberList;
+    return type == OptionType::NameList || type == OptionType::AddressList || type == OptionType::MemberList || type == OptionType::NamePairList;
 }
 
 std::string rangeText(const Option &option)
@@ -170,6 +178,8 @@
         return "ip:port separated by commas";
     case OptionType::MemberList:
         return "id=ip:port separated by commas";
+    case OptionType::NamePairList:
+        return "name=name separated by commas";
     }
     return {};
 }
--- a/packages/config/optiontable.h
+++ b/packages/config/optiontable.h
@@ -20,6 +20,7 @@
     Address, ///< `ip:port`, IPv6 as `[ip]:port`
     AddressList,
     MemberList, ///< `id=ip:port`
+    NamePairList, ///< `name=name`
 };
 
 /// One option of a file. Feeds the check, the help text and docs/MANIFEST.md.
--- a/packages/mesh/meshsettings.h
+++ b/packages/mesh/meshsettings.h
@@ -4,6 +4,7 @@
 #include "base/finding.h"
 #include "config/optiontable.h"
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -45,6 +46,7 @@
     std::string operatorAddress; ///< control only
     std::string dataFolder; ///< control only
     bool bootstrapGroup = false; ///< control only: create the consensus group, as all hosts start for the first time
+    std::map<std::string, std::string, std::less<>> regionOfDomain; ///< node only: of the domains that belong to a region
     std::vector<std::string> seeds; ///< peer addresses of control hosts
     std::size_t memoryBytes = 0; ///< that the process may use
     FleetLimits fleetLimits;
--- a/packages/meshnode/callbroker.cpp
+++ b/packages/meshnode/callbroker.cpp
@@ -134,7 +134,7 @@
         refuse(*call, 503, retryAfterMs(), Event::RequestRefusedDraining, "process stops");
         return;
     }
-    if (authorize(call, request) && admit(*call)) {
+    if (authorize(call, request) && checkRegions(*call) && admit(*call)) {
         takeTeamToken(call, false);
     }
 }
@@ -165,6 +165,17 @@
     return true;
 }
 
+// A wait is pointless if no domain belongs to an allowed region.
+bool CallBroker::checkRegions(Call &call)
+{
+    call.regions = AllowedRegions(*call.route, call.rateLimitedTeam);
+    if (call.regions.allowsAnyOf(m_directory.regionOfDomain())) {
+        return true;
+    }
+    refuse(call, 503, retryAfterMs(), Event::RegionUnavailable, "no domain in an allowed region");
+    return false;
+}
+
 bool CallBroker::admit(Call &call)
 {
     call.service = pickService(*call.route);
@@ -288,7 +299,8 @@
         [this](const std::string &address) {
             return address == m_identity.peerAddress || !m_links.isFailing(address);
         },
-        now());
+        now(),
+        call->regions);
     if (!upstream) {
         return false;
     }
@@ -452,7 +464,7 @@
     } else if (call->mayHaveRun) {
         refuse(*call, 502, -1, Event::UpstreamAnswerBroken, call->lastReason);
     } else {
-        refuse(*call, 503, retryAfterMs(), Event::UpstreamUnavailable, call->lastReason);
+        refuse(*call, 503, retryAfterMs(), call->regions.allowsAll() ? Event::UpstreamUnavailable : Event::RegionUnavailable, call->lastReason);
     }
 }
 
--- a/packages/meshnode/callbroker.h
+++ b/packages/meshnode/callbroker.h
@@ -124,6 +124,7 @@
         std::shared_ptr<const FleetConfig> config; ///< keeps the route alive
         const Route *route = nullptr;
         const Team *rateLimitedTeam = nullptr; ///< null if no rate applies
+        AllowedRegions regions; ///< refers to config
         double tokenWaitStartMs = 0; ///< when the call began to wait for a token
         std::string requestId;
         std::string team;
@@ -160,6 +161,7 @@
 
     void process(const CallPtr &call);
     bool authorize(const CallPtr &call, const CallerRequest &request);
+    bool checkRegions(Call &call);
     bool admit(Call &call);
     /// @p hasWaited is true if the leader did not answer a token request for the call in time.
     void takeTeamToken(const CallPtr &call, bool hasWaited);
--- a/packages/meshnode/directory.cpp
+++ b/packages/meshnode/directory.cpp
@@ -139,14 +139,15 @@
                                        double maxServiceMs,
                                        const std::set<std::string> &tried,
                                        const std::function<bool(const std::string &)> &reachable,
-                                       double nowMs)
+                                       double nowMs,
+                                       const AllowedRegions &regions)
 {
     const UpstreamEntry *best = nullptr;
     const UpstreamEntry *fallback = nullptr;
     double bestScore = std::numeric_limits<double>::max();
     for (const auto &[id, upstream] : m_upstreams) {
-        if (upstream.entry.service != service || upstream.entry.state == UpstreamState::Draining || tried.contains(id)
-            || !reachable(upstream.entry.peerAddress)) {
+        if (upstream.entry.service != service || upstream.entry.state == UpstreamState::Draining || tried.contains(id) || !reachable(upstream.entry.peerAddress)
+            || !regions.allowsDomain(upstream.entry.domain, m_regionOfDomain)) {
             continue;
         }
         if (upstream.entry.state == UpstreamState::Unreachable || nowMs < upstream.avoidUntilMs) {
--- a/packages/meshnode/directory.h
+++ b/packages/meshnode/directory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/random.h"
+#include "mesh/allowedregions.h"
 #include "mesh/messages.h"
 
 #include <functional>
@@ -19,6 +20,14 @@
 public:
     Directory(std::string domain, Random random);
 
+    void setRegions(RegionOfDomain regionOfDomain)
+    {
+        m_regionOfDomain = std::move(regionOfDomain);
+    }
+    const RegionOfDomain &regionOfDomain() const
+    {
+        return m_regionOfDomain;
+    }
     /// Replaces the list. Measurements of upstreams that remain in it are kept.
     void replace(const std::vector<UpstreamEntry> &entries);
     /// Applies changes of the leader's directory: adds or updates some upstreams and removes others.
@@ -27,15 +36,16 @@
     /// report may have been on its way.
     void update(const std::vector<UpstreamEntry> &entries);
     /// Returns the best upstream of @p service for a call, or null if there is none. Excludes upstreams in @p tried and
-    /// those whose node is not @p reachable. Upstreams get a penalty that grows with the ratio of their service time for
-    /// calls of @p kind to the latency goal, and a further one above @p maxServiceMs.
+    /// those whose node is not @p reachable or whose domain is in no region of @p regions. Upstreams get a penalty that grows with the ratio of their service
+    /// time for calls of @p kind to the latency goal, and a further one above @p maxServiceMs.
     const UpstreamEntry *choose(std::string_view service,
                                 std::uint32_t kind,
                                 double latencyGoalMs,
                                 double maxServiceMs,
                                 const std::set<std::string> &tried,
                                 const std::function<bool(const std::string &peerAddress)> &reachable,
-                                double nowMs);
+                                double nowMs,
+                                const AllowedRegions &regions = {});
     /// Counts a call that was sent to an upstream.
     void recordSent(const std::string &upstreamId);
     /// Counts the end of a call that was sent to an upstream.
@@ -79,6 +89,7 @@
     static double serviceTimePenalty(const Upstream &upstream, std::uint32_t kind, double latencyGoalMs, double maxServiceMs, double nowMs);
 
     std::string m_domain;
+    RegionOfDomain m_regionOfDomain;
     Random m_random;
     std::map<std::string, Upstream, std::less<>> m_upstreams;
     std::set<std::string> m_removed; ///< ids removed by the leader since the last whole directory
--- a/packages/meshnode/meshnode.cpp
+++ b/packages/meshnode/meshnode.cpp
@@ -151,6 +151,7 @@
     , m_memoryGuard(m_loop, m_log, m_metrics, settings.maxHeldBytes())
 {
     guardMemory();
+    m_broker.directory().setRegions(settings.regionOfDomain);
     m_links.onFrame = [this](const std::string &address, FrameType type, std::string_view payload) {
         handleLinkFrame(address, type, payload);
     };
--- a/tests/mesh/meshtest.cpp
+++ b/tests/mesh/meshtest.cpp
@@ -1,5 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
+#include "mesh/allowedregions.h"
 #include "mesh/fleetconfig.h"
 #include "mesh/framelink.h"
 #include "mesh/memoryguard.h"
@@ -477,14 +478,16 @@
     const std::string common = "name = n1\ndomain = north\nhost = 10.0.0.1\npeer-port = 7000\nseeds = 10.0.0.9:8500,10.0.0.8:8500\n";
     const MeshSettings node = parseMeshSettings("role = node\n" + common
                                                     + "caller-address = 10.0.0.1:80\nreadiness-address = 10.0.0.1:81\n"
-                                                      "announcement-address = 10.0.0.1:82\nservice = stock\nwithdrawal-s = 2.5\n",
+                                                      "announcement-address = 10.0.0.1:82\nservice = stock\nwithdrawal-s = 2.5\n"
+                                                      "regions = north=nordic,south=alps\nregions = east=nordic\n",
                                                 "f", findings);
     BOOST_REQUIRE(findings.empty());
     BOOST_TEST(node.seeds.at(1) == "10.0.0.8:7000");
     BOOST_TEST(node.fleetLimits.withdrawalMs == 2'500);
+    BOOST_TEST((node.regionOfDomain == RegionOfDomain{{"east", "nordic"}, {"north", "nordic"}, {"south", "alps"}}));
     parseMeshSettings("role = control\n" + common, "f", findings);
     BOOST_TEST(findings.size() == 2U);
     findings.clear();
-    parseMeshSettings("role = node\nname = n1\nunknown = 1\nretry-ratio = 7\n", "f", findings);
-    BOOST_TEST(findings.size() >= 6U);
+    parseMeshSettings("role = node\nname = n1\nunknown = 1\nretry-ratio = 7\nregions = north\n", "f", findings);
+    BOOST_TEST(findings.size() >= 7U);
 }
--- a/tests/meshnode/callbrokertest.cpp
+++ b/tests/meshnode/callbrokertest.cpp
@@ -225,3 +225,25 @@
         }
     }
 }
+
+// Guards against a request that reaches an upstream outside its allowed regions, and against a refusal that cannot be repeated.
+BOOST_AUTO_TEST_CASE(requestOutsideItsRegionsIsRefusedForNow)
+{
+    Fixture fixture;
+    fixture.broker.directory().setRegions({{"north", "nordic"}, {"south", "alps"}});
+    const auto withRegions = [](const std::vector<std::string> &ofRoute, const std::vector<std::string> &ofTeam) {
+        auto result = std::make_shared<FleetConfig>(*config(1, {"/p/"}, {"k1"}));
+        result->routes.front().regions = ofRoute;
+        result->teams.front().regions = ofTeam;
+        return result;
+    };
+    fixture.broker.setConfig(withRegions({"nordic"}, {}));
+    BOOST_TEST(fixture.answer("/p/1", "k1").starts_with("HTTP/1.1 200"));
+    const std::string outside = "HTTP/1.1 503";
+    for (const auto &regions : {withRegions({"alps"}, {}), withRegions({"nordic"}, {"alps"}), withRegions({}, {"tropics"})}) {
+        fixture.broker.setConfig(regions);
+        BOOST_TEST(fixture.answer("/p/2", "k1").starts_with(outside));
+        BOOST_TEST(fixture.received.find("Retry-After") != std::string::npos);
+    }
+    BOOST_TEST(fixture.metrics.value("calls_refused_total", "status=\"503\",reason=\"no domain in an allowed region\"") == 2);
+}
--- a/tests/meshnode/decisiontest.cpp
+++ b/tests/meshnode/decisiontest.cpp
@@ -72,6 +72,37 @@
     BOOST_TEST(!queue.remove(0, 2));
 }
 
+// Guards against a call to an upstream outside the regions of its route and team, also if no other one is available.
+BOOST_AUTO_TEST_CASE(choiceKeepsToTheAllowedRegions)
+{
+    Directory directory("north", Random(1));
+    directory.setRegions({{"north", "nordic"}, {"south", "alps"}, {"west", "alps"}});
+    directory.replace({upstream("1", "north"), upstream("2", "south"), upstream("3", "unassigned")});
+    Route route;
+    Team team;
+    const auto chosen = [&](const std::set<std::string> &tried = {}) {
+        const UpstreamEntry *entry = directory.choose("stock", 1, 400, 1'000, tried, allReachable, 5'000, AllowedRegions(route, &team));
+        return entry ? entry->id : std::string();
+    };
+    BOOST_TEST(chosen() == "1");
+    BOOST_TEST(chosen({"1", "2"}) == "3");
+    route.regions = {"alps"};
+    BOOST_TEST(chosen() == "2");
+    BOOST_TEST(chosen({"2"}).empty());
+    directory.recordFailure("2", 4'900);
+    BOOST_TEST(chosen() == "2");
+    team.regions = {"alps", "nordic"};
+    BOOST_TEST(chosen() == "2");
+    team.regions = {"nordic"};
+    BOOST_TEST(chosen().empty());
+    route.regions.clear();
+    BOOST_TEST(chosen() == "1");
+    team.regions = {"tropics"};
+    BOOST_TEST(chosen().empty());
+    BOOST_TEST(!AllowedRegions(route, &team).allowsAnyOf(directory.regionOfDomain()));
+    BOOST_TEST(AllowedRegions(route, nullptr).allowsAll());
+}
+
 // Guards against calls to upstreams that are draining, were tried before, failed recently, or are unreachable.
 BOOST_AUTO_TEST_CASE(choiceSkipsUnavailableUpstreams)
 {
