yuccagrade check: check a configuration of the mesh

Cause: a configuration of the mesh could be checked only by sending it to the control hosts, which report what they refuse but no entries without effect.

usageErrorsAndHelp expected exit code 1 for a file that cannot be read. For a configuration of the mesh this code means warnings only, and the kind of an unreadable file is unknown, so it is 3 now. A folder given as a file ended the program with an exception; it is reported as unreadable.

--- a/apps/yuccagrade/commandline.cpp
+++ b/apps/yuccagrade/commandline.cpp
@@ -14,7 +14,7 @@
 namespace po = boost::program_options;
 
 const std::array<Subcommand, 8> subcommands{{
-    {"check", "FILE", 1, 1, NoOptions, "Checks a manifest and prints all findings.", runCheck},
+    {"check", "FILE", 1, 1, CheckOptions, "Checks a manifest or a configuration of the mesh and prints all findings.", runCheck},
     {"apply", "FILE", 1, 1, ControlOptions | SubmissionOptions | WaitOptions, "Sends a manifest and waits until it is in force everywhere.", runApply},
     {"show", "[manifest|keys]", 0, 1, ControlOptions, "Shows the manifest in force or the keys.", runShow},
     {"key give", "TEAM", 1, 1, ControlOptions | SubmissionOptions, "Gives a team a new key and prints it once.", runKeyGive},
@@ -50,6 +50,10 @@
         options.add_options()("event", po::value<std::string>(), "only this event, by number or name");
         options.add_options()("process", po::value<std::string>(), "only this process");
     }
+    if (subcommand.options & CheckOptions) {
+        options.add_options()("against", po::value<std::string>(), "configuration of the mesh in force, to print the differences");
+        options.add_options()("json", "same as --format json");
+    }
     return options;
 }
 
@@ -57,7 +61,9 @@
 {
     out << "Usage: yuccagrade " << subcommand.name << " [options] " << subcommand.arguments << '\n'
         << subcommand.help << '\n'
-        << visibleOptions(subcommand) << "Exit codes: 0 success, 1 findings, 2 usage, 3 refused, 4 no answer, 5 not in force in time\n";
+        << visibleOptions(subcommand)
+        << (subcommand.options & CheckOptions ? "Exit codes: 0 no findings, 1 findings (mesh: warnings only), 2 usage (mesh: errors), 3 a file cannot be read\n"
+                                              : "Exit codes: 0 success, 1 findings, 2 usage, 3 refused, 4 no answer, 5 not in force in time\n");
 }
 
 void printOverview(std::ostream &out)
--- a/apps/yuccagrade/environment.h
+++ b/apps/yuccagrade/environment.h
@@ -17,6 +17,10 @@
     Refused = 3, ///< the request was refused; nothing changed
     NoAnswer = 4, ///< no usable answer in time; a write may have been accepted
     NotInForce = 5, ///< accepted, but not confirmed by every process in time
+    // `check` of a file:
+    HasWarnings = 1, ///< a configuration of the mesh has warnings only
+    HasErrors = 2, ///< the control hosts would refuse a configuration of the mesh
+    Unreadable = 3, ///< a file cannot be read
 };
 
 /// One HTTP request to an operator-address.
--- a/apps/yuccagrade/invocation.cpp
+++ b/apps/yuccagrade/invocation.cpp
@@ -6,6 +6,7 @@
 #include "config/optiontable.h"
 #include "protocol/jsoncodec.h"
 
+#include <filesystem>
 #include <fstream>
 #include <iterator>
 
@@ -68,7 +69,7 @@
 
 bool Invocation::isJson() const
 {
-    return text("format") == "json";
+    return text("format") == "json" || m_values.count("json") > 0;
 }
 
 ExitCode Invocation::fail(ExitCode code, const std::string &message) const
@@ -95,7 +96,8 @@
         return std::string(std::istreambuf_iterator<char>(m_environment.in), {});
     }
     std::ifstream file(path, std::ios::binary);
-    if (!file) {
+    // A folder can be opened, but reading it throws.
+    if (std::error_code ignored; !file || std::filesystem::is_directory(path, ignored)) {
         fail(ExitCode::HasFindings, "cannot read '" + path + "'");
         return std::nullopt;
     }
--- a/apps/yuccagrade/readcommands.cpp
+++ b/apps/yuccagrade/readcommands.cpp
@@ -1,3 +1,4 @@
+#include "meshcheck.h"
 #include "statuspage.h"
 #include "subcommand.h"
 #include "timeline.h"
@@ -70,7 +71,13 @@
     const std::string path = invocation.arguments().front();
     const auto text = invocation.readFile(path);
     if (!text) {
-        return ExitCode::HasFindings;
+        return ExitCode::Unreadable;
+    }
+    if (isMeshConfig(*text)) {
+        return checkMeshConfig(invocation, path, *text);
+    }
+    if (!invocation.text("against").empty()) {
+        return invocation.fail(ExitCode::Usage, "--against needs a configuration of the mesh, but " + path + " is no JSON object");
     }
     Findings findings;
     const Manifest manifest = parseManifest(*text, path, findings);
--- a/apps/yuccagrade/subcommand.h
+++ b/apps/yuccagrade/subcommand.h
@@ -55,6 +55,7 @@
     WaitOptions = 4,
     FilterOptions = 8,
     SecretOptions = 16, ///< secret and timeout only
+    CheckOptions = 32,
 };
 
 struct Subcommand {
