Large frames: progress beside many short ones; findings of clang-tidy

Cause: pieces were written only once the stream was drained, which may not happen while many short frames are sent. The size classes are arrays of the standard library, as clang-tidy asks.

--- a/packages/mesh/configcheck.cpp
+++ b/packages/mesh/configcheck.cpp
@@ -19,6 +19,11 @@
     return out.str();
 }
 
+std::string subjectOf(const std::string &kind, const std::string &name)
+{
+    return kind + ' ' + name;
+}
+
 std::string joined(const std::vector<std::string> &items)
 {
     std::string text;
@@ -80,7 +85,7 @@
         std::set<std::string> names;
         for (const T &item : items) {
             if (!names.insert(item.name).second) {
-                warn(kind + ' ' + item.name, "occurs more than once");
+                warn(subjectOf(kind, item.name), "occurs more than once");
             }
         }
     }
@@ -287,7 +292,7 @@
     const auto items = byName(now);
     const auto old = byName(before);
     for (const auto &[name, item] : items) {
-        const std::string subject = kind + ' ' + name;
+        const std::string subject = subjectOf(kind, name);
         const auto found = old.find(name);
         if (found == old.end()) {
             remarks.push_back({RemarkKind::Difference, subject, "added"});
@@ -298,7 +303,7 @@
     }
     for (const auto &[name, item] : old) {
         if (!items.contains(name)) {
-            remarks.push_back({RemarkKind::Difference, kind + ' ' + name, "removed"});
+            remarks.push_back({RemarkKind::Difference, subjectOf(kind, name), "removed"});
         }
     }
 }
--- a/packages/mesh/framelink.cpp
+++ b/packages/mesh/framelink.cpp
@@ -86,10 +86,11 @@
     }
     if (m_splitter.mustQueue(type, payload.size())) {
         m_splitter.add(type, payload);
-        sendPieces();
     } else {
         sendWhole(type, payload);
     }
+    // Also after a short frame: the stream might never be drained while many of them are sent.
+    sendPieces();
 }
 
 void FrameLink::sendWhole(FrameType type, std::string_view payload)
--- a/packages/mesh/framepieces.cpp
+++ b/packages/mesh/framepieces.cpp
@@ -57,21 +57,21 @@
 
 bool TransferBudget::fits(std::size_t bytes) const
 {
-    const Class &current = m_classes[classOf(bytes)];
+    const Class &current = m_classes.at(classOf(bytes));
     const std::size_t largest = std::max(bytes, current.sizes.empty() ? 0 : current.sizes.rbegin()->first);
     return current.sum + bytes - largest <= maxFurtherBytes;
 }
 
 void TransferBudget::add(std::size_t bytes)
 {
-    Class &current = m_classes[classOf(bytes)];
+    Class &current = m_classes.at(classOf(bytes));
     ++current.sizes[bytes];
     current.sum += bytes;
 }
 
 void TransferBudget::remove(std::size_t bytes)
 {
-    Class &current = m_classes[classOf(bytes)];
+    Class &current = m_classes.at(classOf(bytes));
     const auto found = current.sizes.find(bytes);
     if (found != current.sizes.end()) {
         current.sum -= bytes;
@@ -106,10 +106,10 @@
 void FrameSplitter::startWaiting()
 {
     std::deque<Frame> rest;
-    bool isClassFull[2] = {false, false};
+    std::array<bool, 2> isClassFull{};
     for (Frame &frame : std::exchange(m_waiting, {})) {
         const std::size_t bytes = frame.payload.size();
-        bool &isFull = isClassFull[bytes > maxMediumBytes];
+        bool &isFull = isClassFull.at(TransferBudget::classOf(bytes));
         const auto isEarlier = [&frame](const Frame &other) {
             return mustFollow(frame.type, other.type);
         };
--- a/packages/mesh/framepieces.h
+++ b/packages/mesh/framepieces.h
@@ -2,6 +2,7 @@
 
 #include "messages.h"
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -26,15 +27,16 @@
     bool fits(std::size_t bytes) const;
     void add(std::size_t bytes);
     void remove(std::size_t bytes);
+    /// Returns the index of the size class of a frame.
+    static std::size_t classOf(std::size_t bytes);
 
 private:
     struct Class {
         std::map<std::size_t, int> sizes; ///< number of frames by size
         std::size_t sum = 0;
     };
-    static std::size_t classOf(std::size_t bytes);
 
-    Class m_classes[2];
+    std::array<Class, 2> m_classes;
 };
 
 /// Outgoing frames of a link that are too large to be sent at once. Load that it handles: responses of many MB on links that
