Settings: accept any text as the region of a domain

Cause: regions are named by the platform's table; a region with a blank or without a name would have kept the nodes of the fleet from starting, even if no route restricts its regions.

--- a/packages/config/optiontable.cpp
+++ b/packages/config/optiontable.cpp
@@ -51,10 +51,12 @@
     return separator != std::string_view::npos && isName(text.substr(0, separator)) && isAddress(text.substr(separator + 1));
 }
 
-bool isNamePair(std::string_view text)
+bool isNamedText(std::string_view text)
 {
     const auto separator = text.find('=');
-    return separator != std::string_view::npos && isName(text.substr(0, separator)) && isName(text.substr(separator + 1));
+    return separator != std::string_view::npos && isName(text.substr(0, separator)) && std::none_of(text.begin(), text.end(), [](unsigned char c) {
+               return c < ' ';
+           });
 }
 
 // A blank could start a comment for inih, and `*` stands for a prefix at the end only.
@@ -111,8 +113,8 @@
         return isAddress(item);
     case OptionType::MemberList:
         return isMember(item);
-    case OptionType::NamePairList:
-        return isNamePair(item);
+    case OptionType::NamedTextList:
+        return isNamedText(item);
     }
     return false;
 }
@@ -149,7 +151,7 @@
 
 bool isList(OptionType type)
 {
-    return type == OptionType::NameList || type == OptionType::AddressList || type == OptionType::MemberList || type == OptionType::NamePairList;
+    return type == OptionType::NameList || type == OptionType::AddressList || type == OptionType::MemberList || type == OptionType::NamedTextList;
 }
 
 std::string rangeText(const Option &option)
@@ -178,8 +180,8 @@
         return "ip:port separated by commas";
     case OptionType::MemberList:
         return "id=ip:port separated by commas";
-    case OptionType::NamePairList:
-        return "name=name separated by commas";
+    case OptionType::NamedTextList:
+        return "name=text separated by commas";
     }
     return {};
 }
--- a/packages/config/optiontable.h
+++ b/packages/config/optiontable.h
@@ -20,7 +20,7 @@
     Address, ///< `ip:port`, IPv6 as `[ip]:port`
     AddressList,
     MemberList, ///< `id=ip:port`
-    NamePairList, ///< `name=name`
+    NamedTextList, ///< `name=text`; the text may be empty and has no comma
 };
 
 /// One option of a file. Feeds the check, the help text and docs/MANIFEST.md.
--- a/packages/mesh/meshsettings.cpp
+++ b/packages/mesh/meshsettings.cpp
@@ -37,7 +37,7 @@
     Option{.name = "data-folder", .type = File, .help = "Control: folder of the durable state."},
     Option{.name = "found-group", .type = Choice, .choices = "true|false", .fallback = "false", .help = "Control: all hosts start for the first time."},
     Option{.name = "seeds", .type = AddressList, .required = true, .help = "Addresses of control hosts; their port is replaced by peer-port."},
-    Option{.name = "regions", .type = NamePairList, .help = "Node: region of each failure domain, as domain=region."},
+    Option{.name = "regions", .type = NamedTextList, .help = "Node: region of each failure domain, as domain=region."},
     Option{.name = "memory-mb",
            .type = Integer,
            .unit = "MB",
@@ -110,7 +110,9 @@
     }
     for (const std::string &pair : section.list("regions")) {
         const std::size_t separator = pair.find('=');
-        settings.regionOfDomain[pair.substr(0, separator)] = pair.substr(separator + 1);
+        if (separator + 1 < pair.size()) {
+            settings.regionOfDomain[pair.substr(0, separator)] = pair.substr(separator + 1);
+        }
     }
     settings.memoryBytes = static_cast<std::size_t>(section.integer("memory-mb")) * bytesPerMb;
     settings.fleetLimits.toleratedHosts = static_cast<int>(section.integer("tolerated-hosts"));
