--- a/packages/meshnode/meshnode.cpp
+++ b/packages/meshnode/meshnode.cpp
@@ -154,6 +154,7 @@
     , m_memoryGuard(m_loop, m_log, m_metrics, settings.maxHeldBytes())
 {
     guardMemory();
+    m_broker.directory().setRegions(settings.regionOfDomain);
     m_links.onFrame = [this](const std::string &address, FrameType type, std::string_view payload) {
         handleLinkFrame(address, type, payload);
     };
@@ -304,6 +305,10 @@
     m_metrics.count("frame_bytes_total",
                     "kind=\"" + std::string(frameTypeName(type)) + "\",compressed=\"" + (compressed ? "yes" : "no") + '"',
                     static_cast<double>(bytes));
+    if (bytes > framePieceBytes) {
+        m_metrics.count("large_frames_total", "kind=\"" + std::string(frameTypeName(type)) + '"');
+        m_log.write(Event::LargeFrameSent, {{"kind", std::string(frameTypeName(type))}, {"bytes", std::to_string(bytes)}});
+    }
 }
 
 void Node::acceptPeer(std::shared_ptr<TcpStream> stream)
@@ -605,6 +610,7 @@
     m_metrics.gauge("calls_pending", static_cast<double>(m_broker.pending()));
     m_metrics.gauge("upstream_calls_pending", static_cast<double>(m_upstreams.pending()));
     m_metrics.gauge("caller_connections", static_cast<double>(m_callerPort.connections()));
+    m_metrics.gauge("peer_unsent_bytes", static_cast<double>(unsentToPeers()));
     m_metrics.gauge("config_version", static_cast<double>(m_configVersion));
     m_metrics.gauge("evacuated_domains", static_cast<double>(m_evacuatedDomains.size()));
     m_metrics.gauge("key_proof_valid", m_broker.areKeysFresh() ? 1 : 0);
