Nodes choose upstreams by spare capacity, corrected for the age of the reports

Cause: each node took the lowest score of reports up to 2 s old, so all nodes chose the same upstreams at once. Change: UpstreamChoice samples two upstreams by spare slots and speed, corrects a report towards the mean of the domain by its age, and leaves the domain by the gap of the former scores, averaged when the reports are old. LocalUpstreams fills workTimeFactor and declinedShare; a fast error response is no service time. Metrics upstream_choices_total and upstream_load_ratio. Run: test_meshnode.

--- a/packages/meshnode/callbroker.cpp
+++ b/packages/meshnode/callbroker.cpp
@@ -292,6 +292,7 @@
     if (!upstream) {
         return false;
     }
+    m_metrics.count("upstream_choices_total", "reason=\"" + std::string(choiceReasonNames[static_cast<std::size_t>(m_directory.choiceReason())]) + '"');
     const bool local = upstream->peerAddress == m_identity.peerAddress;
     FrameLink *link = local ? nullptr : m_links.link(upstream->peerAddress);
     if (!local && !link) {
@@ -410,6 +411,9 @@
         m_directory.recordLoad(call->upstreamId, reply.load, at);
         m_directory.recordServiceTime(call->upstreamId, call->kind, reply.serviceMs, at);
     }
+    if (reply.outcome == CallOutcome::Answered) {
+        m_directory.recordAnswer(call->upstreamId, reply.status >= firstServerError, at);
+    }
     if (!nodeReplied || reply.outcome == CallOutcome::MayHaveRun) {
         m_directory.recordFailure(call->upstreamId, at);
     }
--- a/packages/meshnode/directory.cpp
+++ b/packages/meshnode/directory.cpp
@@ -2,29 +2,15 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 
 namespace Yuccagrade::Mesh
 {
 namespace
 {
-// Added to the score of an upstream in another domain. Traffic between domains is expensive, so a call is sent to another
-// domain only if its own has no free slot or its upstreams are slow in relation to the latency goal.
-constexpr double otherDomainPenalty = 0.6;
-// Added to the score of an upstream without a free slot.
-constexpr double fullPenalty = 0.6;
-// A cold upstream runs at about half its normal speed.
-constexpr double coldFactor = 2;
 // Age up to which a load report is used; after it the load is estimated from the calls of this node.
 constexpr double loadValidMs = 2'000;
-// Upper bound of the ratio of service time to latency goal in the score.
-constexpr double maxTimeShare = 2;
-constexpr double serviceTimeDecayMs = 4'000;
-// Added for an upstream whose service time exceeds the caller's maximum. Larger than the sum of the penalties for another
-// domain and for no free slot.
-constexpr double tooSlowPenalty = 1.5;
-// Random part of the score, so that nodes with the same reports do not all choose the same upstream.
-constexpr double scoreJitter = 0.05;
+// Decay of the share of declined calls in a report, so that an upstream that is avoided for it is tried again.
+constexpr double declinedDecayMs = 4'000;
 constexpr double avoidMs = 300;
 constexpr int maxAvoidSteps = 4;
 constexpr int assumedLimit = 8; // for upstreams that state no slots
@@ -103,34 +89,30 @@
     });
 }
 
-double Directory::score(const Upstream &upstream, double nowMs)
+ChoiceCandidate Directory::candidate(const Upstream &upstream, std::uint32_t kind, double nowMs) const
 {
-    const bool fresh = nowMs - upstream.loadAtMs < loadValidMs && upstream.load.limit > 0;
-    const double limit = fresh ? upstream.load.limit : std::max(upstream.entry.slots, assumedLimit);
-    const double busy = fresh ? upstream.load.busy + upstream.sentSinceLoad : upstream.outstanding;
-    double result = (busy + 1) / limit;
-    if (busy >= limit) {
-        result += fullPenalty;
-    }
-    if (upstream.entry.warmUpLeftMs > 0) {
-        result *= coldFactor;
-    }
-    if (upstream.entry.domain != m_domain) {
-        result += otherDomainPenalty;
+    ChoiceCandidate result;
+    const double age = nowMs - upstream.loadAtMs;
+    if (age < loadValidMs && upstream.load.limit > 0) {
+        result.slots = upstream.load.limit;
+        result.busy = upstream.load.busy;
+        // Without those that have ended since.
+        result.ownCalls = std::min(upstream.sentSinceLoad, upstream.outstanding);
+        result.reportAgeMs = age;
+        result.workTimeFactor = upstream.load.workTimeFactor;
+    } else {
+        result.slots = std::max(upstream.entry.slots, assumedLimit);
+        result.ownCalls = upstream.outstanding;
     }
-    return result + m_random.fraction() * scoreJitter;
-}
-
-// The penalty decays with the age of the measurement, so that a slow upstream is tried again.
-double Directory::serviceTimePenalty(const Upstream &upstream, std::uint32_t kind, double latencyGoalMs, double maxServiceMs, double nowMs)
-{
-    const auto time = upstream.serviceTimes.find(kind);
-    if (time == upstream.serviceTimes.end() || latencyGoalMs <= 0) {
-        return 0;
+    if (const auto time = upstream.serviceTimes.find(kind); time != upstream.serviceTimes.end()) {
+        result.serviceMs = time->second.ms;
+        result.serviceAgeMs = nowMs - time->second.atMs;
     }
-    const double decay = std::exp(-(nowMs - time->second.atMs) / serviceTimeDecayMs);
-    const double tooSlow = time->second.ms > maxServiceMs ? tooSlowPenalty : 0;
-    return (std::min(time->second.ms / latencyGoalMs, maxTimeShare) + tooSlow) * decay;
+    const double declined = upstream.load.declinedShare > 0 ? upstream.load.declinedShare * std::exp(-age / declinedDecayMs) : 0;
+    result.servedShare = (1 - declined) * (1 - upstream.failedShare.value(nowMs));
+    result.isCold = upstream.entry.warmUpLeftMs > 0;
+    result.isOwnDomain = upstream.entry.domain == m_domain;
+    return result;
 }
 
 const UpstreamEntry *Directory::choose(std::string_view service,
@@ -141,9 +123,9 @@
                                        const std::function<bool(const std::string &)> &reachable,
                                        double nowMs)
 {
-    const UpstreamEntry *best = nullptr;
     const UpstreamEntry *fallback = nullptr;
-    double bestScore = std::numeric_limits<double>::max();
+    m_candidates.clear();
+    m_candidateEntries.clear();
     for (const auto &[id, upstream] : m_upstreams) {
         if (upstream.entry.service != service || upstream.entry.state == UpstreamState::Draining || tried.contains(id)
             || !reachable(upstream.entry.peerAddress)) {
@@ -153,13 +135,44 @@
             fallback = &upstream.entry;
             continue;
         }
-        const double current = score(upstream, nowMs) + serviceTimePenalty(upstream, kind, latencyGoalMs, maxServiceMs, nowMs);
-        if (current < bestScore) {
-            bestScore = current;
-            best = &upstream.entry;
+        m_candidates.push_back(candidate(upstream, kind, nowMs));
+        m_candidateEntries.push_back(&upstream.entry);
+    }
+    if (m_candidates.empty()) {
+        m_choiceReason = ChoiceReason::LastResort;
+        return fallback;
+    }
+    auto leaving = m_leaving.find(service);
+    if (leaving == m_leaving.end()) {
+        leaving = m_leaving.emplace(std::string(service), UpstreamChoice::Leaving()).first;
+    }
+    const UpstreamChoice::Result result = m_choice.choose(m_candidates, latencyGoalMs, maxServiceMs, leaving->second, nowMs, m_random);
+    m_choiceReason = result.reason;
+    return m_candidateEntries[result.index];
+}
+
+std::map<std::string, double> Directory::loadRatios(double nowMs) const
+{
+    struct Use {
+        double busiest = 0;
+        double sum = 0;
+        double count = 0;
+    };
+    std::map<std::string, Use> services;
+    for (const auto &[id, upstream] : m_upstreams) {
+        if (nowMs - upstream.loadAtMs < loadValidMs && upstream.load.limit > 0) {
+            const double share = static_cast<double>(upstream.load.busy) / upstream.load.limit;
+            Use &use = services[upstream.entry.service];
+            use.busiest = std::max(use.busiest, share);
+            use.sum += share;
+            use.count += 1;
         }
     }
-    return best ? best : fallback;
+    std::map<std::string, double> result;
+    for (const auto &[service, use] : services) {
+        result[service] = use.sum > 0 ? use.busiest * use.count / use.sum : 1;
+    }
+    return result;
 }
 
 void Directory::recordSent(const std::string &upstreamId)
@@ -198,6 +211,14 @@
     }
 }
 
+void Directory::recordAnswer(const std::string &upstreamId, bool hasFailed, double nowMs)
+{
+    const auto found = m_upstreams.find(upstreamId);
+    if (found != m_upstreams.end()) {
+        found->second.failedShare.record(hasFailed, nowMs);
+    }
+}
+
 void Directory::recordLoad(const std::string &upstreamId, const LoadReport &load, double nowMs)
 {
     const auto found = m_upstreams.find(upstreamId);
--- a/packages/meshnode/directory.h
+++ b/packages/meshnode/directory.h
@@ -2,6 +2,8 @@
 
 #include "base/random.h"
 #include "mesh/messages.h"
+#include "upstreamchoice.h"
+#include "upstreamfigures.h"
 
 #include <functional>
 #include <map>
@@ -26,9 +28,9 @@
     /// Adds or updates upstreams as reported by their own node. Ignores upstreams that the leader has removed since: the
     /// report may have been on its way.
     void update(const std::vector<UpstreamEntry> &entries);
-    /// Returns the best upstream of @p service for a call, or null if there is none. Excludes upstreams in @p tried and
-    /// those whose node is not @p reachable. Upstreams get a penalty that grows with the ratio of their service time for
-    /// calls of @p kind to the latency goal, and a further one above @p maxServiceMs.
+    /// Returns the upstream of @p service for a call, or null if there is none. Excludes upstreams in @p tried and those
+    /// whose node is not @p reachable. UpstreamChoice decides among the others; those that cannot be reached or failed
+    /// recently are the last resort.
     const UpstreamEntry *choose(std::string_view service,
                                 std::uint32_t kind,
                                 double latencyGoalMs,
@@ -36,6 +38,13 @@
                                 const std::set<std::string> &tried,
                                 const std::function<bool(const std::string &peerAddress)> &reachable,
                                 double nowMs);
+    /// Returns why the latest call of choose() returned its upstream.
+    ChoiceReason choiceReason() const
+    {
+        return m_choiceReason;
+    }
+    /// Returns for each service the highest utilization of an upstream, relative to the mean, according to the recent reports.
+    std::map<std::string, double> loadRatios(double nowMs) const;
     /// Counts a call that was sent to an upstream.
     void recordSent(const std::string &upstreamId);
     /// Counts the end of a call that was sent to an upstream.
@@ -44,6 +53,8 @@
     void recordServiceTime(const std::string &upstreamId, std::uint32_t kind, double serviceMs, double nowMs);
     /// Raises the service time for calls of a kind to at least @p elapsedMs, after which a call timed out.
     void recordTimeout(const std::string &upstreamId, std::uint32_t kind, double elapsedMs, double nowMs);
+    /// Counts a response of an upstream, by whether it was an error of the upstream.
+    void recordAnswer(const std::string &upstreamId, bool hasFailed, double nowMs);
     /// Sets the load that a reply reported, and ends the avoidance after failures.
     void recordLoad(const std::string &upstreamId, const LoadReport &load, double nowMs);
     /// Returns false if load reports of @p service exist and none says that its upstreams make nested calls.
@@ -67,7 +78,7 @@
         std::map<std::uint32_t, ServiceTime> serviceTimes; ///< by kind of call
         LoadReport load;
         double loadAtMs = 0;
-        double coldUntilMs = 0;
+        OutcomeShare failedShare; ///< of the responses to this node
         double avoidUntilMs = 0;
         int failures = 0; ///< consecutive
         int outstanding = 0; ///< calls of this node without a reply
@@ -75,11 +86,16 @@
         bool isRemoved = false; ///< kept until its last outstanding call ends
     };
     void remove(const std::string &upstreamId);
-    double score(const Upstream &upstream, double nowMs);
-    static double serviceTimePenalty(const Upstream &upstream, std::uint32_t kind, double latencyGoalMs, double maxServiceMs, double nowMs);
+    ChoiceCandidate candidate(const Upstream &upstream, std::uint32_t kind, double nowMs) const;
 
     std::string m_domain;
     Random m_random;
+    UpstreamChoice m_choice;
+    std::map<std::string, UpstreamChoice::Leaving, std::less<>> m_leaving; ///< by service
+    ChoiceReason m_choiceReason = ChoiceReason::LastResort;
+    // Of the current choice; kept to avoid allocations.
+    std::vector<ChoiceCandidate> m_candidates;
+    std::vector<const UpstreamEntry *> m_candidateEntries;
     std::map<std::string, Upstream, std::less<>> m_upstreams;
     std::set<std::string> m_removed; ///< ids removed by the leader since the last whole directory
 };
--- a/packages/meshnode/localupstreams.cpp
+++ b/packages/meshnode/localupstreams.cpp
@@ -36,6 +36,7 @@
 // Limit for all responses that are being read, less than a third of the memory of the smallest process.
 constexpr std::size_t maxHeldResponseBytes = 48U << 20U;
 constexpr double msPerSecond = 1'000;
+constexpr int firstServerError = 500;
 }
 
 LocalUpstreams::LocalUpstreams(EventLoop &loop, const ProtocolAdapter &adapter, EventLog &log, Metrics &metrics, Identity identity)
@@ -248,12 +249,16 @@
     if (!upstream.pacer.isLimited()) {
         return limit;
     }
-    return std::clamp(static_cast<int>(std::ceil(upstream.pacer.ratePerS() * upstream.serviceMs / msPerSecond)), 1, limit);
+    const double serviceMs = upstream.serviceMs * upstream.workTime.factor(now());
+    return std::clamp(static_cast<int>(std::ceil(upstream.pacer.ratePerS() * serviceMs / msPerSecond)), 1, limit);
 }
 
 void LocalUpstreams::applyAnswer(const std::string &id, const UpstreamAnswer &answer)
 {
     Upstream &upstream = m_upstreams[id];
+    if (answer.load) {
+        upstream.workTime.record(answer.load->workTimeFactor, now());
+    }
     if (upstream.pacer.setRate(answer.limitPerS, now())) {
         m_metrics.gauge("upstream_limit_per_s", answer.limitPerS.value_or(-1), "upstream=\"" + id + '"');
         m_log.write(Event::UpstreamLimited, {{"upstream", id}, {"per_s", answer.limitPerS ? std::to_string(*answer.limitPerS) : "none"}});
@@ -382,9 +387,18 @@
         const double took = now() - connection->sentAtMs();
         if (reply.outcome == CallOutcome::Answered) {
             upstream.serviceMs += (took - upstream.serviceMs) * smoothing;
-            double &ofKind = upstream.serviceMsOfKind.emplace(call.message.kind, took).first->second;
-            ofKind += (took - ofKind) * kindSmoothing;
-            reply.serviceMs = ofKind;
+            // An error response within a short time says nothing about the time that work takes. Counted as service time, it
+            // would attract calls.
+            auto ofKind = upstream.serviceMsOfKind.find(call.message.kind);
+            if (reply.status < firstServerError || (ofKind != upstream.serviceMsOfKind.end() && took > ofKind->second)) {
+                ofKind = upstream.serviceMsOfKind.emplace(call.message.kind, took).first;
+                upstream.workTime.recordServiceTime(ofKind->second > 0 ? took / ofKind->second : 1);
+                ofKind->second += (took - ofKind->second) * kindSmoothing;
+            }
+            reply.serviceMs = ofKind == upstream.serviceMsOfKind.end() ? 0 : ofKind->second;
+        }
+        if (reply.reason != "wrong upstream") {
+            upstream.declinedShare.record(reply.outcome == CallOutcome::Declined, now());
         }
         upstream.lastContactMs = now();
         m_metrics.sample("upstream_service_ms", took);
@@ -705,13 +719,22 @@
 {
     LoadReport report;
     report.makesCalls = !makesCalls || makesCalls();
+    double workTime = 0; // weighted by slots, as the share of declined calls is
+    double declined = 0;
     for (const auto &[id, upstream] : m_upstreams) {
         if (stateOf(upstream) == UpstreamState::Ready) {
             report.busy += upstream.active + static_cast<int>(upstream.queue.size());
-            report.limit += usableSlots(upstream);
+            const int slots = usableSlots(upstream);
+            report.limit += slots;
             report.offeredLoad += upstream.demandSlots;
+            workTime += slots * upstream.workTime.factor(now());
+            declined += slots * upstream.declinedShare.value(now());
         }
     }
+    if (report.limit > 0) {
+        report.workTimeFactor = workTime / report.limit;
+        report.declinedShare = declined / report.limit;
+    }
     return report;
 }
 
--- a/packages/meshnode/localupstreams.h
+++ b/packages/meshnode/localupstreams.h
@@ -5,6 +5,7 @@
 #include "mesh/protocoladapter.h"
 #include "requestpacer.h"
 #include "upstreamconnection.h"
+#include "upstreamfigures.h"
 #include "upstreamqueue.h"
 
 #include <functional>
@@ -98,6 +99,8 @@
         double demandSlots = 0; ///< smoothed demand in slots
         double serviceMs = 0; ///< smoothed service time
         std::map<std::uint32_t, double> serviceMsOfKind; ///< smoothed service time by kind of call
+        WorkTime workTime;
+        OutcomeShare declinedShare;
         int active = 0;
         RequestPacer pacer;
         UpstreamQueue queue;
--- a/packages/meshnode/meshnode.cpp
+++ b/packages/meshnode/meshnode.cpp
@@ -582,6 +582,9 @@
     m_metrics.gauge("config_version", static_cast<double>(m_configVersion));
     m_metrics.gauge("key_proof_valid", m_broker.areKeysFresh() ? 1 : 0);
     m_metrics.gauge("directory_upstreams", static_cast<double>(m_broker.directory().size()));
+    for (const auto &[service, ratio] : m_broker.directory().loadRatios(m_loop.clock().preciseMs())) {
+        m_metrics.gauge("upstream_load_ratio", ratio, "service=\"" + service + '"');
+    }
     exchange->respond(responseHead(200, {{"Content-Type", "text/plain; version=0.0.4"}}), m_metrics.text());
 }
 
