Choice of an upstream compares six upstreams while reports are new and slots are free

Cause: with upstreams of different speed, the latency at 10 to 40% of the load was 4 to 7% above the former choice. Change: six samples instead of two with new reports and free slots; the speed counts up to its square at low load.

--- a/packages/meshnode/upstreamchoice.cpp
+++ b/packages/meshnode/upstreamchoice.cpp
@@ -37,12 +37,18 @@
 constexpr double minRelaxMs = 50;
 constexpr double maxRelaxMs = 1'000;
 constexpr double defaultRelaxMs = 200;
-// Faster upstreams are preferred beyond their share of the calls while this much of the slots is in use at most. Above it they
-// would be overloaded before new reports arrive.
-constexpr double preferFastUntilUse = 0.5;
+// Faster upstreams are preferred beyond their share of the calls, by the score and up to the square of their speed, while less than
+// this share of the slots is in use. Above it they would be overloaded before new reports arrive.
+constexpr double preferFastUntilUse = 0.45;
 // An upstream that serves this part of the mean share or more counts like the others: with half of the calls declined everywhere,
 // the measured shares differ by chance by a tenth.
 constexpr double servedTolerance = 0.8;
+// Upstreams that are compared for a call. More are compared if the reports are new and slots are free: the fastest one is found more
+// often, and its slots do not run out before the next report.
+constexpr std::size_t usualSamples = 2;
+constexpr std::size_t moreSamples = 6;
+constexpr double moreSamplesUntilUse = 0.7;
+constexpr double moreSamplesRange = 0.3;
 constexpr double minSpare = 0.01; // slots; full upstreams differ by speed and score only
 // Bounds of the speed relative to the mean: upstreams of a service differ by 0.5 to 1.7, times a work time factor of 2.5.
 constexpr double minSpeed = 0.1;
@@ -132,6 +138,13 @@
     {
         return timed > 0 ? std::clamp(meanServiceMs(), minRelaxMs, maxRelaxMs) : defaultRelaxMs;
     }
+    /// Returns the number of upstreams that are compared.
+    std::size_t samples(Random &random) const
+    {
+        const double isNew = reports > 0 ? std::exp(-reportAgeMs / reports / (relaxShare * relaxMs())) : 0;
+        const double isIdle = std::clamp((moreSamplesUntilUse - meanUse()) / moreSamplesRange, 0.0, 1.0);
+        return random.fraction() < isNew * isIdle ? moreSamples : usualSamples;
+    }
     /// Returns 1 if the calls in the reports are probably still running, less if they are older.
     double trust() const
     {
@@ -160,11 +173,12 @@
         const double tooSlow = candidate.serviceMs > maxServiceMs ? timeWeight : 0;
         const double suited = std::max(minWeightFactor, served * served * (1 - tooSlow));
         const double spare = std::max(candidate.slots - busy, 0.0);
-        const double preferFast = std::clamp(1 - group.meanUse() / preferFastUntilUse, trust, 1.0);
+        const double isIdle = std::max(0.0, 1 - group.meanUse() / preferFastUntilUse);
+        const double preferFast = std::max(isIdle, trust);
         // An unequal share of declined calls counts in the score like a utilization, because such an upstream looks idle.
         const double score =
             loadScore(busy, candidate) + preferFast * timeScore(candidate, latencyGoalMs, maxServiceMs) + (1 - served) + random.fraction() * scoreJitter;
-        m_rated.push_back({i, std::max(spare, minSpare) * speed * suited, score, full});
+        m_rated.push_back({i, std::max(spare, minSpare) * speed * (1 + isIdle * (speed - 1)) * suited, score, full});
     }
     // A queue is worse than a slow upstream: full ones are used only if there are no others.
     if (std::any_of(m_rated.begin(), m_rated.end(), [](const Rated &rated) {
@@ -176,37 +190,33 @@
     }
 }
 
-// Returns an index into the rated upstreams, drawn by weight.
-std::size_t UpstreamChoice::sample(double totalWeight, std::size_t excluded, Random &random) const
+// Returns the best of the upstreams that are drawn by weight, without the same one twice.
+std::size_t UpstreamChoice::pick(std::size_t samples, Random &random)
 {
-    double left = random.fraction() * totalWeight;
-    std::size_t last = excluded;
-    for (std::size_t i = 0; i < m_rated.size(); ++i) {
-        if (i == excluded) {
-            continue;
-        }
-        last = i;
-        left -= m_rated[i].weight;
-        if (left < 0) {
-            break;
-        }
-    }
-    return last;
-}
-
-std::size_t UpstreamChoice::pick(Random &random) const
-{
-    if (m_rated.size() == 1) {
-        return m_rated.front().index;
-    }
     double total = 0;
     for (const Rated &rated : m_rated) {
         total += rated.weight;
     }
-    const Rated &first = m_rated[sample(total, m_rated.size(), random)];
-    const auto firstAt = static_cast<std::size_t>(&first - m_rated.data());
-    const Rated &second = m_rated[sample(total - first.weight, firstAt, random)];
-    return first.score <= second.score ? first.index : second.index;
+    const Rated *best = nullptr;
+    for (std::size_t i = 0; i < std::min(samples, m_rated.size()); ++i) {
+        double left = random.fraction() * total;
+        Rated *drawn = nullptr;
+        for (Rated &rated : m_rated) {
+            if (rated.weight > 0) {
+                drawn = &rated;
+                left -= rated.weight;
+                if (left < 0) {
+                    break;
+                }
+            }
+        }
+        total -= drawn->weight;
+        drawn->weight = 0;
+        if (!best || drawn->score < best->score) {
+            best = drawn;
+        }
+    }
+    return best->index;
 }
 
 UpstreamChoice::Result UpstreamChoice::choose(const std::vector<ChoiceCandidate> &candidates,
@@ -235,7 +245,8 @@
         // All nodes of the domain know the same old reports. If all followed them, the calls would move to and fro between domains.
         leaves = random.fraction() < leaving.share + (share - leaving.share) * own.trust();
     }
-    rate(candidates, leaves ? others : own, latencyGoalMs, maxServiceMs, random);
-    return {pick(random), leaves ? ChoiceReason::OtherDomain : ChoiceReason::OwnDomain};
+    const Group &group = leaves ? others : own;
+    rate(candidates, group, latencyGoalMs, maxServiceMs, random);
+    return {pick(group.samples(random), random), leaves ? ChoiceReason::OtherDomain : ChoiceReason::OwnDomain};
 }
 }
--- a/packages/meshnode/upstreamchoice.h
+++ b/packages/meshnode/upstreamchoice.h
@@ -57,8 +57,7 @@
         bool isFull = false;
     };
     void rate(const std::vector<ChoiceCandidate> &candidates, const Group &group, double latencyGoalMs, double maxServiceMs, Random &random);
-    std::size_t sample(double totalWeight, std::size_t excluded, Random &random) const;
-    std::size_t pick(Random &random) const;
+    std::size_t pick(std::size_t samples, Random &random);
 
     std::vector<Rated> m_rated; ///< kept between calls to avoid allocations
 };
