--- a/packages/base/eventlog.cpp
+++ b/packages/base/eventlog.cpp
@@ -81,6 +81,7 @@
     {Event::UpstreamDrainEnded, Info, "upstream-drain-ended", "A newer announcement ended a drain from before the start of this process."},
     {Event::UpstreamCold, Info, "upstream-cold", "The upstream of this host became cold, so that its rate is limited, or warm."},
     {Event::DomainsEvacuated, Info, "domains-evacuated", "This node received another list of evacuated domains."},
+    {Event::CallsLeaveDomain, Info, "calls-leave-domain", "Calls for a service go to other domains because of its load in the own one, or no longer."},
     {Event::QuotaShareChanged, Debug, "quota-share-changed", "The shares of this failure domain changed."},
     {Event::TeamOverRate, Info, "team-over-rate", "A request was refused because its team is over its rate."},
     {Event::TeamTokensTaken, Info, "team-tokens-taken", "Tokens of a team over its rate, or without the leader, since the last report."},
--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -59,6 +59,7 @@
     UpstreamDrainEnded = 410,
     UpstreamCold = 411,
     DomainsEvacuated = 412,
+    CallsLeaveDomain = 420,
     QuotaShareChanged = 500,
     TeamOverRate = 501,
     TeamTokensTaken = 502,
