--- a/tests/meshnode/upstreamtest.cpp
+++ b/tests/meshnode/upstreamtest.cpp
@@ -12,6 +12,7 @@
 #include <string>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <utility>
 #include <vector>
 
 using namespace Yuccagrade;
@@ -419,6 +420,7 @@
     BOOST_TEST((fixture.run("a").outcome == CallOutcome::Declined));
     const ReplyMessage failed = fixture.run("b");
     BOOST_TEST((failed.outcome == CallOutcome::Answered));
+    BOOST_TEST_INFO(failed.reason);
     BOOST_TEST(failed.status == 500);
 }
 
@@ -963,6 +965,29 @@
     BOOST_TEST(declined.load.declinedShare < 0.3);
 }
 
+// Guards against an upstream that attracts calls because it fails them at once, which would look like a short service time.
+BOOST_AUTO_TEST_CASE(fastErrorIsNoServiceTime)
+{
+    Fixture fixture;
+    bool isFirst = true;
+    HookedUpstream upstream(fixture.loop, [&](TcpStream &stream, std::size_t, std::size_t) {
+        if (std::exchange(isFirst, false)) {
+            fixture.loop.after(50, [&stream] {
+                stream.write(response("a", "A"));
+            });
+        } else {
+            stream.write(response("b", "B", "X-Receipt: 1\r\n", 500));
+        }
+    });
+    fixture.port.announce(fixture.heartbeat(upstream.address()));
+    const double serviceMs = fixture.run("a").serviceMs;
+    BOOST_TEST(serviceMs >= 49);
+    const ReplyMessage failed = fixture.run("b");
+    BOOST_TEST_INFO(failed.reason);
+    BOOST_TEST(failed.status == 500);
+    BOOST_TEST(failed.serviceMs >= serviceMs);
+}
+
 // Guards against calls to an upstream that says in a response that it leaves, also after a late announcement.
 BOOST_AUTO_TEST_CASE(leavingUpstreamGetsNoCall)
 {
