--- a/tests/soak/soakfleet.cpp
+++ b/tests/soak/soakfleet.cpp
@@ -78,10 +78,11 @@
     return m_stalledMs + (runningMs > stallMs ? runningMs : 0);
 }
 
-Fleet::Fleet(EventLoop &loop, Ledger &ledger, const std::string &program, const std::string &folder, std::uint64_t seed)
+Fleet::Fleet(EventLoop &loop, Ledger &ledger, const std::string &program, const std::string &folder, std::uint64_t seed, const std::string &extraSettings)
     : m_loop(loop)
     , m_ledger(ledger)
     , m_program(program)
+    , m_extraSettings(extraSettings)
     , m_proxy(std::make_unique<Test::FaultProxy>())
 {
     const auto add = [&](const std::string &name, int domain, bool control) {
@@ -150,7 +151,8 @@
             << "\nupstream-address = " << at(host.ip, serverPort);
     }
     out << "\ntolerated-hosts = 1\nwithdrawal-s = " << Ledger::withdrawalMs / 1'000
-        << "\nstop-s = 6\nretry-ratio = 0.2\nretry-per-window = 50\nretry-window-s = 10\n";
+        << "\nstop-s = 6\nretry-ratio = 0.2\nretry-per-window = 50\nretry-window-s = 10\n"
+        << m_extraSettings;
 }
 
 void Fleet::start(Host &host, bool first)
--- a/tests/soak/soakfleet.h
+++ b/tests/soak/soakfleet.h
@@ -53,7 +53,8 @@
 class Fleet
 {
 public:
-    Fleet(EventLoop &loop, Ledger &ledger, const std::string &program, const std::string &folder, std::uint64_t seed);
+    /// @param extraSettings lines that are appended to the settings of all hosts
+    Fleet(EventLoop &loop, Ledger &ledger, const std::string &program, const std::string &folder, std::uint64_t seed, const std::string &extraSettings = {});
     ~Fleet();
 
     std::vector<Host> &hosts()
@@ -96,6 +97,7 @@
     EventLoop &m_loop;
     Ledger &m_ledger;
     std::string m_program;
+    std::string m_extraSettings;
     std::vector<Host> m_hosts; ///< control hosts first
     std::vector<std::unique_ptr<Server>> m_servers; ///< one for each node, in their order
     std::unique_ptr<Test::FaultProxy> m_proxy;
