Ports: count and bound the memory and the descriptors of every port

Cause: the guard checked every 50 ms, in which more than the limit can arrive, did not count the ports for readiness, announcements and metrics, counted fields and pipelined requests by a part of their memory, and nothing bounded connections.

Change: the guard counts all ports and also runs each time a 64th of its limit was received; ports without large requests accept bodies up to 64 KiB; a whole request beyond the limit gets 503 before it is handed over; large bodies and frames are read into one block; running calls release their bodies; released memory returns to the system; connections have a bound for each port, derived from the descriptor limit, and slow ones are closed first; a connection begins at most four requests in a turn of the loop, and none while its client leaves responses unread. A paused connection that broke is closed instead of waking the loop in each turn.

--- a/packages/base/eventlog.cpp
+++ b/packages/base/eventlog.cpp
@@ -48,6 +48,7 @@
     {Event::PeerRejected, Warning, "peer-rejected", "A peer message failed authentication or was replayed."},
     {Event::PeerUnreachable, Debug, "peer-unreachable", "A peer did not answer."},
     {Event::MemoryLimitReached, Warning, "memory-limit-reached", "The process held too much for its peers and gave up the largest part."},
+    {Event::ConnectionLimitReached, Warning, "connection-limit-reached", "A port had too many connections and closed one."},
     {Event::LeaderElected, Info, "leader-elected", "This control host leads the group."},
     {Event::LeaderLost, Info, "leader-lost", "This control host no longer leads the group."},
     {Event::EntryCommitted, Debug, "entry-committed", "A log entry was committed by a quorum."},
--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -26,6 +26,7 @@
     PeerRejected = 111,
     PeerUnreachable = 112,
     MemoryLimitReached = 113,
+    ConnectionLimitReached = 114,
     LeaderElected = 200,
     LeaderLost = 201,
     EntryCommitted = 202,
--- a/packages/mesh/framelink.cpp
+++ b/packages/mesh/framelink.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <arpa/inet.h>
 #include <cstring>
+#include <new>
 
 namespace Yuccagrade::Mesh
 {
@@ -16,6 +17,8 @@
 constexpr std::size_t maxCompressedReportBytes = 32'768;
 // Above the size of the largest call with body and header.
 constexpr std::size_t maxFrameBytes = 80U << 20U;
+// Larger frames get their memory at once.
+constexpr std::size_t minReservedBytes = 64U << 10U;
 // A peer that owes an answer and sends nothing for this time is pinged.
 constexpr TimeMs pingAfterMs = 250;
 // The link is closed if nothing is received for this time, which leaves TCP time to resend a packet that was lost twice.
@@ -122,12 +125,33 @@
         const auto kind = static_cast<unsigned char>(m_input[offset + headerBytes - 1]);
         const std::string_view payload(m_input.data() + offset + headerBytes, length);
         offset += headerBytes + length;
+        m_hasReceivedFrame = true;
         if (!readFrame(kind, payload)) {
             fail();
             return;
         }
     }
     m_input.erase(0, offset);
+    sizeInput();
+}
+
+// A large frame gets all of its memory at once: a growing string needs the old and the new memory while it moves. The system
+// provides only the pages that are written.
+void FrameLink::sizeInput()
+{
+    if (m_input.size() < minReservedBytes) {
+        if (m_input.capacity() > 2 * minReservedBytes) {
+            m_input.shrink_to_fit();
+        }
+        return;
+    }
+    std::uint32_t length = 0;
+    std::memcpy(&length, m_input.data(), sizeof length);
+    try {
+        m_input.reserve(headerBytes + ntohl(length));
+    } catch (const std::bad_alloc &) {
+        // A system that grants no memory beyond its own may refuse it; the frame then grows step by step.
+    }
 }
 
 // Returns false if the frame is malformed.
@@ -205,6 +229,18 @@
     return sum;
 }
 
+bool closeSilentLink(const std::vector<std::shared_ptr<FrameLink>> &links)
+{
+    const auto silent = std::find_if(links.begin(), links.end(), [](const auto &link) {
+        return !link->hasReceivedFrame();
+    });
+    if (silent == links.end()) {
+        return false;
+    }
+    (*silent)->fail();
+    return true;
+}
+
 bool closeLargestLink(const std::vector<std::shared_ptr<FrameLink>> &links)
 {
     const auto largest = std::max_element(links.begin(), links.end(), [](const auto &a, const auto &b) {
--- a/packages/mesh/framelink.h
+++ b/packages/mesh/framelink.h
@@ -55,6 +55,11 @@
     {
         return m_stream ? m_stream->unsent() : 0;
     }
+    /// True once a whole frame was read.
+    bool hasReceivedFrame() const
+    {
+        return m_hasReceivedFrame;
+    }
     /// Returns the memory held for frames that are being read or sent.
     std::size_t heldBytes() const
     {
@@ -76,6 +81,7 @@
     void start();
     void connected();
     void read(std::string_view data);
+    void sizeInput();
     bool readFrame(unsigned char kind, std::string_view payload);
 
     std::shared_ptr<TcpStream> m_stream;
@@ -87,10 +93,13 @@
     std::uint64_t m_sentAtCheck = 0; ///< bytes sent at the last liveness check
     TimeMs m_pingedAt = 0;
     bool m_wasConnected = false;
+    bool m_hasReceivedFrame = false;
 };
 
 /// Returns the memory held for all @p links.
 std::size_t heldByLinks(const std::vector<std::shared_ptr<FrameLink>> &links);
+/// Closes the oldest of the accepted @p links, oldest first, that has sent no frame yet. Returns false if there is none.
+bool closeSilentLink(const std::vector<std::shared_ptr<FrameLink>> &links);
 /// Closes the link that holds most. Returns false if none holds anything.
 bool closeLargestLink(const std::vector<std::shared_ptr<FrameLink>> &links);
 
--- a/packages/meshcontrol/meshcontrol.cpp
+++ b/packages/meshcontrol/meshcontrol.cpp
@@ -9,6 +9,7 @@
 #include "fleetregistry.h"
 #include "levelcontroller.h"
 #include "mesh/memoryguard.h"
+#include "mesh/portlimits.h"
 #include "net/httpport.h"
 #include "tokenledger.h"
 
@@ -75,6 +76,8 @@
     void loadTeamRates();
     void storeDrains(const SyncMessage &message);
     void guardMemory();
+    void limitConnections();
+    std::vector<std::shared_ptr<FrameLink>> acceptedLinks() const;
     std::vector<std::shared_ptr<FrameLink>> peerLinks() const;
     void addDocument(SyncReplyMessage &reply, Session &session);
     void recordDocument();
@@ -99,6 +102,8 @@
     TcpListener m_peerListener;
     std::map<std::uint64_t, Session> m_sessions;
     MemoryGuard m_memoryGuard;
+    const PortLimits m_portLimits;
+    ConnectionLimitReport m_connectionLimitReport;
     std::uint64_t m_lastLinkId = 0;
     std::set<std::string> m_proposedDrains; ///< peer addresses of the nodes whose drains are being stored
     std::map<std::uint64_t, SubmissionResult> m_submissionResults; ///< by log index, for operators waiting on this host
@@ -139,8 +144,11 @@
                          acceptPeer(std::move(stream));
                      })
     , m_memoryGuard(m_loop, m_log, m_metrics, settings.maxHeldBytes())
+    , m_portLimits(portLimits(HostRole::Control, raiseDescriptorLimit(), settings.maxHeldBytes()))
+    , m_connectionLimitReport(m_loop.clock(), m_log, m_metrics)
 {
     guardMemory();
+    limitConnections();
     m_links.onFrame = [this](const std::string &, FrameType type, std::string_view payload) {
         handleControlLinkFrame(type, payload);
     };
@@ -213,20 +221,8 @@
 
 void ControlHost::guardMemory()
 {
-    m_memoryGuard.add({"requests",
-                       [this] {
-                           return m_operatorPort.heldRequestBytes();
-                       },
-                       [this] {
-                           return m_operatorPort.refuseLargestRequest();
-                       }});
-    m_memoryGuard.add({"unread responses",
-                       [this] {
-                           return m_operatorPort.unreadResponseBytes();
-                       },
-                       [this] {
-                           return m_operatorPort.closeLargestUnread();
-                       }});
+    m_memoryGuard.addPort(m_operatorPort, "requests", "unread responses");
+    m_memoryGuard.addPort(m_metricsPort, "metrics requests", "unread metrics");
     m_memoryGuard.add({"peers",
                        [this] {
                            return heldByLinks(peerLinks());
@@ -236,9 +232,22 @@
                        }});
 }
 
-std::vector<std::shared_ptr<FrameLink>> ControlHost::peerLinks() const
+void ControlHost::limitConnections()
 {
-    std::vector<std::shared_ptr<FrameLink>> links = m_links.links();
+    const auto limit = [this](HttpPort &port, const std::string &name, std::size_t connections) {
+        port.setMaxConnections(connections);
+        port.onTooManyConnections = [this, name, connections] {
+            m_connectionLimitReport.closed(name, connections);
+        };
+    };
+    limit(m_operatorPort, "operators", m_portLimits.callers);
+    limit(m_metricsPort, "metrics", m_portLimits.small);
+    m_metricsPort.setLimits({HttpReaderLimits().maxHeaderBytes, maxSmallBodyBytes}, {});
+}
+
+std::vector<std::shared_ptr<FrameLink>> ControlHost::acceptedLinks() const
+{
+    std::vector<std::shared_ptr<FrameLink>> links;
     for (const auto &[id, session] : m_sessions) {
         if (session.link) {
             links.push_back(session.link);
@@ -247,6 +256,14 @@
     return links;
 }
 
+std::vector<std::shared_ptr<FrameLink>> ControlHost::peerLinks() const
+{
+    std::vector<std::shared_ptr<FrameLink>> links = m_links.links();
+    const auto accepted = acceptedLinks();
+    links.insert(links.end(), accepted.begin(), accepted.end());
+    return links;
+}
+
 bool ControlHost::open()
 {
     const auto listen = [this](auto &port, const std::string &address) {
@@ -304,6 +321,13 @@
 
 void ControlHost::acceptPeer(std::shared_ptr<TcpStream> stream)
 {
+    if (m_sessions.size() >= m_portLimits.peers) {
+        m_connectionLimitReport.closed("peers", m_portLimits.peers);
+        if (!closeSilentLink(acceptedLinks())) {
+            stream->close();
+            return;
+        }
+    }
     const std::uint64_t id = ++m_lastLinkId;
     const auto link = FrameLink::open(std::move(stream), m_loop.clock());
     link->onFrame = [this, id](FrameType type, std::string_view payload) {
@@ -711,6 +735,7 @@
 
 int runMeshControl(const MeshSettings &settings, const ProtocolAdapter &adapter, const std::function<MeshSettings()> &rereadSettings)
 {
+    limitRetainedMemory();
     ControlHost host(settings, adapter, rereadSettings);
     return host.open() ? host.run() : 1;
 }
--- a/packages/meshnode/meshnode.cpp
+++ b/packages/meshnode/meshnode.cpp
@@ -5,6 +5,7 @@
 #include "healthprobe.h"
 #include "leaderclient.h"
 #include "mesh/memoryguard.h"
+#include "mesh/portlimits.h"
 
 #include <algorithm>
 #include <unistd.h>
@@ -60,6 +61,8 @@
     void acknowledgeStoredDrains();
     void answerReadiness(const std::shared_ptr<PortExchange> &exchange);
     void guardMemory();
+    void limitConnections();
+    std::vector<std::shared_ptr<FrameLink>> acceptedLinks() const;
     std::vector<std::shared_ptr<FrameLink>> peerLinks() const;
     void answerMetrics(const std::shared_ptr<PortExchange> &exchange);
     void scheduleStatus();
@@ -97,6 +100,8 @@
     TcpListener m_peerListener;
     std::map<std::uint64_t, std::shared_ptr<FrameLink>> m_peerLinks;
     MemoryGuard m_memoryGuard;
+    const PortLimits m_portLimits;
+    ConnectionLimitReport m_connectionLimitReport;
     std::uint64_t m_lastLinkId = 0;
     std::shared_ptr<const FleetConfig> m_config;
     std::uint64_t m_configIndex = 0;
@@ -149,8 +154,11 @@
                          acceptPeer(std::move(stream));
                      })
     , m_memoryGuard(m_loop, m_log, m_metrics, settings.maxHeldBytes())
+    , m_portLimits(portLimits(HostRole::Node, raiseDescriptorLimit(), settings.maxHeldBytes()))
+    , m_connectionLimitReport(m_loop.clock(), m_log, m_metrics)
 {
     guardMemory();
+    limitConnections();
     m_links.onFrame = [this](const std::string &address, FrameType type, std::string_view payload) {
         handleLinkFrame(address, type, payload);
     };
@@ -228,20 +236,10 @@
                            return m_upstreams.heldCallBytes();
                        },
                        nullptr});
-    m_memoryGuard.add({"requests",
-                       [this] {
-                           return m_callerPort.heldRequestBytes();
-                       },
-                       [this] {
-                           return m_callerPort.refuseLargestRequest();
-                       }});
-    m_memoryGuard.add({"unread responses",
-                       [this] {
-                           return m_callerPort.unreadResponseBytes();
-                       },
-                       [this] {
-                           return m_callerPort.closeLargestUnread();
-                       }});
+    m_memoryGuard.addPort(m_callerPort, "requests", "unread responses");
+    m_memoryGuard.addPort(m_readinessPort, "readiness requests", "unread readiness responses");
+    m_memoryGuard.addPort(m_announcementPort, "announcements", "unread announcement responses");
+    m_memoryGuard.addPort(m_metricsPort, "metrics requests", "unread metrics");
     m_memoryGuard.add({"peers",
                        [this] {
                            return heldByLinks(peerLinks());
@@ -251,15 +249,40 @@
                        }});
 }
 
-std::vector<std::shared_ptr<FrameLink>> Node::peerLinks() const
+void Node::limitConnections()
 {
-    std::vector<std::shared_ptr<FrameLink>> links = m_links.links();
+    const auto limit = [this](HttpPort &port, const std::string &name, std::size_t connections) {
+        port.setMaxConnections(connections);
+        port.onTooManyConnections = [this, name, connections] {
+            m_connectionLimitReport.closed(name, connections);
+        };
+    };
+    limit(m_callerPort, "callers", m_portLimits.callers);
+    limit(m_readinessPort, "readiness", m_portLimits.small);
+    limit(m_announcementPort, "announcements", m_portLimits.small);
+    limit(m_metricsPort, "metrics", m_portLimits.small);
+    for (HttpPort *port : {&m_readinessPort, &m_announcementPort, &m_metricsPort}) {
+        port->setLimits({HttpReaderLimits().maxHeaderBytes, maxSmallBodyBytes}, {});
+    }
+}
+
+std::vector<std::shared_ptr<FrameLink>> Node::acceptedLinks() const
+{
+    std::vector<std::shared_ptr<FrameLink>> links;
     for (const auto &[id, link] : m_peerLinks) {
         links.push_back(link);
     }
     return links;
 }
 
+std::vector<std::shared_ptr<FrameLink>> Node::peerLinks() const
+{
+    std::vector<std::shared_ptr<FrameLink>> links = m_links.links();
+    const auto accepted = acceptedLinks();
+    links.insert(links.end(), accepted.begin(), accepted.end());
+    return links;
+}
+
 bool Node::open()
 {
     const auto listen = [this](auto &port, const std::string &address) {
@@ -305,6 +328,13 @@
 
 void Node::acceptPeer(std::shared_ptr<TcpStream> stream)
 {
+    if (m_peerLinks.size() >= m_portLimits.peers) {
+        m_connectionLimitReport.closed("peers", m_portLimits.peers);
+        if (!closeSilentLink(acceptedLinks())) {
+            stream->close();
+            return;
+        }
+    }
     const std::uint64_t id = ++m_lastLinkId;
     const auto link = FrameLink::open(std::move(stream), m_loop.clock());
     link->onFrame = [this, id](FrameType type, std::string_view payload) {
@@ -655,6 +685,7 @@
 
 int runMeshNode(const MeshSettings &settings, const ProtocolAdapter &adapter, const SettingsReader &reloadSettings)
 {
+    limitRetainedMemory();
     Node node(settings, adapter, reloadSettings);
     return node.open() ? node.run() : 1;
 }
--- a/packages/meshnode/upstreamconnection.cpp
+++ b/packages/meshnode/upstreamconnection.cpp
@@ -97,7 +97,7 @@
     m_stream->write(hop);
     m_stream->write(call.message.body);
     m_call = std::move(call);
-    m_call->message.body.clear();
+    std::string().swap(m_call->message.body); // releases its memory, which is not counted while the call runs
 }
 
 void UpstreamConnection::read(std::string_view data)
--- a/packages/net/eventloop.cpp
+++ b/packages/net/eventloop.cpp
@@ -114,6 +114,10 @@
     std::vector<std::function<void()>> posted;
     std::function<void()> terminate;
     std::function<void()> hangup;
+    std::function<void()> received;
+    std::size_t receivedBytes = 0; ///< since the last call of received
+    std::size_t receivedBytesPerCall = 0;
+    std::uint64_t turn = 0;
     bool stopped = false;
 };
 
@@ -228,6 +232,7 @@
         ::pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
     }
     while (!m_impl->stopped) {
+        ++m_impl->turn;
         m_impl->runPosted();
         m_impl->runTimers();
         if (m_impl->stopped) {
@@ -282,6 +287,27 @@
     m_impl->posted.push_back(std::move(callback));
 }
 
+std::uint64_t EventLoop::turn() const
+{
+    return m_impl->turn;
+}
+
+void EventLoop::onReceived(std::size_t bytes, std::function<void()> callback)
+{
+    m_impl->received = std::move(callback);
+    m_impl->receivedBytesPerCall = bytes;
+    m_impl->receivedBytes = 0;
+}
+
+void EventLoop::countReceived(std::size_t bytes)
+{
+    m_impl->receivedBytes += bytes;
+    if (m_impl->received && m_impl->receivedBytes >= m_impl->receivedBytesPerCall) {
+        m_impl->receivedBytes = 0;
+        m_impl->received();
+    }
+}
+
 void EventLoop::watch(int descriptor, int mask, std::function<void(int)> callback)
 {
     Watch &watch = m_impl->watches[descriptor];
--- a/packages/net/eventloop.h
+++ b/packages/net/eventloop.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -36,6 +37,13 @@
     /// Calls @p callback after the current event.
     void post(std::function<void()> callback);
 
+    /// Number of the present turn: each one runs the posted callbacks, the due timers and the events of the ready descriptors.
+    std::uint64_t turn() const;
+    /// Calls @p callback each time streams have received another @p bytes bytes in all; null for none.
+    void onReceived(std::size_t bytes, std::function<void()> callback);
+    /// Counts bytes that a stream has received and passed on.
+    void countReceived(std::size_t bytes);
+
     /// Readiness of a descriptor.
     enum Readiness { Readable = 1, Writable = 2 };
     /// Calls @p callback with a mask of Readiness whenever @p descriptor is ready. Replaces an earlier watch.
--- a/packages/net/httpport.cpp
+++ b/packages/net/httpport.cpp
@@ -1,6 +1,7 @@
 #include "httpport.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace Yuccagrade
@@ -9,11 +10,19 @@
 {
 // Requests of one connection that are read before the first is answered.
 constexpr std::size_t maxPipelined = 32;
+// The same for all connections of a port: with more of them, each one may have fewer.
+constexpr std::size_t maxPipelinedOfAll = 256;
+// Requests that one connection may begin in a turn of the loop, so that connections with many do not delay the others.
+constexpr int requestsPerTurn = 4;
+// With more unread response bytes, a client gets no response to further requests.
+constexpr std::size_t maxUnsentBeforeNext = 64U << 10U;
+// A client sends the header of a request within this time unless it is slow.
+constexpr TimeMs slowMs = 500;
 constexpr TimeMs checkPeriodMs = 500;
 constexpr int continueStatus = 100;
 constexpr int unavailableStatus = 503;
 // Bytes behind the last request that may be read now; with more, reading pauses.
-constexpr std::size_t maxHeldBytes = 64U << 10U;
+constexpr std::size_t maxHeldBytes = 16U << 10U;
 // Unread response bytes of a client that does not read; more ends the connection.
 constexpr std::size_t maxUnsentBytes = 4U << 20U;
 // The same for all clients of a port, less than a third of the memory of the smallest process; beyond it the connections with
@@ -58,7 +67,15 @@
     {
         m_stream->onData = [this](std::string_view data) {
             const auto self = shared_from_this();
-            read(data);
+            if (m_held.empty()) {
+                read(data);
+            } else {
+                hold(data);
+            }
+        };
+        m_stream->onDrained = [this] {
+            const auto self = shared_from_this();
+            resume();
         };
         m_stream->onClosed = [this](bool) {
             const auto self = shared_from_this();
@@ -91,11 +108,7 @@
             }
         }
         m_port.addUnsent(m_stream->unsent() - unsentBefore);
-        if (m_exchanges.size() < maxPipelined && !m_held.empty()) {
-            const std::string held = std::exchange(m_held, {});
-            m_stream->pauseReading(false);
-            read(held);
-        }
+        resume();
         if (m_reader.state() == HttpReader::State::Reading) {
             sendContinue();
         }
@@ -123,9 +136,9 @@
     }
     std::size_t heldRequestBytes() const
     {
-        std::size_t bytes = m_held.size() + (m_reader.state() == HttpReader::State::Reading ? m_reader.heldBytes() : 0);
+        std::size_t bytes = m_held.capacity() + (m_reader.state() == HttpReader::State::Reading ? m_reader.heldBytes() : 0);
         for (const auto &exchange : m_exchanges) {
-            bytes += exchange->m_request.body.size();
+            bytes += exchange->m_requestBytes;
         }
         return bytes;
     }
@@ -134,6 +147,30 @@
     {
         return !m_ending && m_reader.state() == HttpReader::State::Reading ? m_reader.heldBytes() : 0;
     }
+    // Bytes of requests behind those that may be read now.
+    std::size_t pipelinedBytes() const
+    {
+        return m_held.capacity();
+    }
+    /// How readily the connection is closed for a new one. Lower ones come first.
+    struct ClosingRank {
+        int kind = 0; ///< 0 for a slow client, 1 for an idle one, 2 for others
+        TimeMs since = 0;
+        auto operator<=>(const ClosingRank &) const = default;
+    };
+    /// Returns nothing if the connection has a request or a response that is being sent.
+    std::optional<ClosingRank> closingRank() const
+    {
+        if (!m_exchanges.empty() || m_stream->unsent() > 0) {
+            return {};
+        }
+        const bool isReading = m_reader.state() == HttpReader::State::Reading;
+        const TimeMs since = isReading && !m_reader.headerComplete() ? m_startedAt : m_activeAt;
+        if (now() - since > slowMs && (isReading || m_requests == 0)) {
+            return ClosingRank{0, since};
+        }
+        return ClosingRank{isReading || m_requests == 0 ? 2 : 1, since};
+    }
     void refuseRequest(int status, std::string_view defect)
     {
         const auto self = shared_from_this(); // the response may end the connection
@@ -156,7 +193,7 @@
     void readNoFurtherRequest()
     {
         m_lastRequest = true;
-        m_held.clear();
+        std::string().swap(m_held);
         if (m_reader.state() != HttpReader::State::Idle) {
             return;
         }
@@ -174,12 +211,57 @@
         return m_port.m_loop.clock().now();
     }
 
+    void hold(std::string_view data)
+    {
+        if (!m_ending) {
+            m_held.append(data);
+            m_stream->pauseReading(m_held.size() > maxHeldBytes);
+        }
+    }
+
+    // Reads what was held back, as far as it may be read now.
+    void resume()
+    {
+        if (m_held.empty() || m_ending || mustWait()) {
+            return;
+        }
+        const std::string held = std::exchange(m_held, {});
+        read(held);
+        if (m_held.empty()) {
+            m_stream->pauseReading(false);
+        }
+    }
+
+    // True if the next request has to wait: for an answer, for the client to read, or for the next turn of the loop.
+    bool mustWait()
+    {
+        if (m_exchanges.size() >= m_port.pipelineDepth() || m_stream->unsent() > maxUnsentBeforeNext) {
+            return true;
+        }
+        if (m_turn != m_port.m_loop.turn()) {
+            m_turn = m_port.m_loop.turn();
+            m_requestsOfTurn = 0;
+        }
+        if (m_requestsOfTurn < requestsPerTurn) {
+            return false;
+        }
+        if (!m_resumePosted) {
+            m_resumePosted = true;
+            m_port.m_loop.post([weak = weak_from_this()] {
+                if (const auto self = weak.lock()) {
+                    self->m_resumePosted = false;
+                    self->resume();
+                }
+            });
+        }
+        return true;
+    }
+
     void read(std::string_view data)
     {
         while (!data.empty() && !m_ending && m_stream->isOpen()) {
-            if (m_exchanges.size() >= maxPipelined) {
-                m_held.append(data);
-                m_stream->pauseReading(m_held.size() > maxHeldBytes);
+            if (m_reader.state() == HttpReader::State::Idle && mustWait()) {
+                hold(data);
                 return;
             }
             const bool wasIdle = m_reader.state() == HttpReader::State::Idle;
@@ -222,11 +304,18 @@
             refuseRequest(statusOf(m_reader.state()), m_reader.defect());
             return;
         }
+        const std::size_t bytes = m_reader.heldBytes();
+        if (m_port.hasMemoryFor && !m_port.hasMemoryFor(bytes)) {
+            refuseRequest(unavailableStatus, "no memory");
+            return;
+        }
         const auto exchange = std::make_shared<PortExchange>();
         exchange->m_connection = weak_from_this();
         m_exchanges.push_back(exchange);
         ++m_requests;
+        ++m_requestsOfTurn;
         exchange->m_request = m_reader.take();
+        exchange->m_requestBytes = bytes;
         m_ending = m_lastRequest || !exchange->m_request.keepAlive;
         m_port.m_handler(exchange);
     }
@@ -258,6 +347,9 @@
     std::deque<std::shared_ptr<PortExchange>> m_exchanges;
     std::string m_held; ///< bytes behind the last request that may be read now
     std::uint64_t m_requests = 0; ///< that were read whole
+    std::uint64_t m_turn = 0; ///< of the loop in which m_requestsOfTurn were begun
+    int m_requestsOfTurn = 0;
+    bool m_resumePosted = false;
     TimeMs m_activeAt;
     std::uint64_t m_sentAtCheck = 0; ///< bytes sent at the last check of the idle time
     TimeMs m_startedAt = 0; ///< first byte of the request that is being read
@@ -284,9 +376,7 @@
     : m_loop(loop)
     , m_handler(std::move(handler))
     , m_listener(loop, [this](std::shared_ptr<TcpStream> stream) {
-        const auto connection = std::make_shared<HttpPortConnection>(*this, std::move(stream));
-        m_connections.insert(connection);
-        connection->start();
+        accept(std::move(stream));
     })
 {
     m_timer = loop.every(checkPeriodMs, [this] {
@@ -314,6 +404,63 @@
     m_times = times;
 }
 
+void HttpPort::setMaxConnections(std::size_t connections)
+{
+    m_maxConnections = connections;
+}
+
+void HttpPort::accept(std::shared_ptr<TcpStream> stream)
+{
+    forgetEndedStreams();
+    if (m_connections.size() + m_lastWrites.size() >= m_maxConnections) {
+        const bool closedOne = closeOneConnection();
+        if (!closedOne) {
+            stream->close();
+        }
+        if (onTooManyConnections) {
+            onTooManyConnections();
+        }
+        if (!closedOne) {
+            return;
+        }
+    }
+    const auto connection = std::make_shared<HttpPortConnection>(*this, std::move(stream));
+    m_connections.insert(connection);
+    connection->start();
+}
+
+// Closes the connection that can best be given up. Returns false if there is none.
+bool HttpPort::closeOneConnection()
+{
+    const auto answered = std::find_if(m_lastWrites.begin(), m_lastWrites.end(), [](const auto &entry) {
+        const auto stream = entry.lock();
+        return stream && stream->unsent() == 0;
+    });
+    if (answered != m_lastWrites.end()) {
+        answered->lock()->close();
+        m_lastWrites.erase(answered);
+        return true;
+    }
+    std::shared_ptr<HttpPortConnection> first;
+    std::optional<HttpPortConnection::ClosingRank> lowest;
+    for (const auto &connection : m_connections) {
+        const auto rank = connection->closingRank();
+        if (rank && (!lowest || *rank < *lowest)) {
+            first = connection;
+            lowest = rank;
+        }
+    }
+    if (first) {
+        first->gone();
+    }
+    return first != nullptr;
+}
+
+std::size_t HttpPort::pipelineDepth() const
+{
+    return std::clamp<std::size_t>(maxPipelinedOfAll / std::max<std::size_t>(m_connections.size(), 1), 1, maxPipelined);
+}
+
 void HttpPort::closeAfterResponses()
 {
     m_closing = true;
@@ -341,12 +488,17 @@
 }
 
 void HttpPort::addLastWrites(const std::shared_ptr<TcpStream> &stream)
+{
+    forgetEndedStreams();
+    m_lastWrites.push_back(stream);
+}
+
+void HttpPort::forgetEndedStreams()
 {
     std::erase_if(m_lastWrites, [](const auto &entry) {
-        const auto open = entry.lock();
-        return !open || open->unsent() == 0;
+        const auto stream = entry.lock();
+        return !stream || !stream->isOpen();
     });
-    m_lastWrites.push_back(stream);
 }
 
 void HttpPort::checkTimes()
@@ -381,12 +533,20 @@
 
 bool HttpPort::refuseLargestRequest()
 {
+    const auto pipelining = std::max_element(m_connections.begin(), m_connections.end(), [](const auto &a, const auto &b) {
+        return a->pipelinedBytes() < b->pipelinedBytes();
+    });
     const auto largest = std::max_element(m_connections.begin(), m_connections.end(), [](const auto &a, const auto &b) {
         return a->refusableBytes() < b->refusableBytes();
     });
-    if (largest == m_connections.end() || (*largest)->refusableBytes() == 0) {
+    if (largest == m_connections.end() || ((*largest)->refusableBytes() == 0 && (*pipelining)->pipelinedBytes() <= maxHeldBytes)) {
         return false;
     }
+    if ((*pipelining)->pipelinedBytes() > (*largest)->refusableBytes()) {
+        const auto connection = *pipelining; // may end now
+        connection->readNoFurtherRequest();
+        return true;
+    }
     (*largest)->refuseRequest(unavailableStatus, "no memory");
     return true;
 }
--- a/packages/net/httpport.h
+++ b/packages/net/httpport.h
@@ -5,6 +5,7 @@
 
 #include <deque>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <set>
 #include <string>
@@ -39,6 +40,7 @@
 
     HttpMessage m_request;
     std::weak_ptr<HttpPortConnection> m_connection;
+    std::size_t m_requestBytes = 0; ///< memory of the request
     std::string m_response; ///< status line and header
     std::string m_body;
     bool m_ready = false;
@@ -79,6 +81,10 @@
 
     /// Returns the response head for a request that could not be read; a plain one with its status if not set.
     UnreadableHandler onUnreadable;
+    /// Returns whether there is memory for another request of this size, which is refused with 503 otherwise; always if not set.
+    std::function<bool(std::size_t)> hasMemoryFor;
+    /// Called after a connection was closed since the port has too many.
+    std::function<void()> onTooManyConnections;
 
     /// Listens on "ip:port". Errors: Malformed, Unavailable.
     std::error_code listen(const std::string &address);
@@ -87,6 +93,10 @@
         return m_listener.address();
     }
     void setLimits(HttpReaderLimits limits, HttpPortTimes times);
+    /// Bounds the connections, including those that end. For a new one beyond it, one is closed that has no request: first
+    /// those that have been sending a header for long or have stopped in a body, then idle ones. If all have a request, the new
+    /// one is closed.
+    void setMaxConnections(std::size_t connections);
     /// From now on each response ends its connection.
     void closeAfterResponses();
     /// Closes the listening socket. Connections close once the requests are answered that have arrived in part or whole.
@@ -99,7 +109,8 @@
     std::size_t heldRequestBytes() const;
     /// Memory of responses that clients have not read.
     std::size_t unreadResponseBytes() const;
-    /// Refuses the largest request that is being read with 503. Returns false if there is none.
+    /// Refuses the largest request that is being read with 503, or reads no more from a connection with larger pipelined requests.
+    /// Returns false if there is none.
     bool refuseLargestRequest();
     /// Closes the connection with the largest unread response. Returns false if there is none.
     bool closeLargestUnread();
@@ -108,6 +119,10 @@
 
 private:
     friend class HttpPortConnection;
+    void accept(std::shared_ptr<TcpStream> stream);
+    bool closeOneConnection();
+    void forgetEndedStreams();
+    std::size_t pipelineDepth() const;
     void checkTimes();
     void addUnsent(std::size_t bytes);
     void boundUnsent();
@@ -121,7 +136,8 @@
     std::set<std::shared_ptr<HttpPortConnection>> m_connections;
     TimerId m_timer = 0;
     TimerId m_boundTimer = 0;
-    std::vector<std::weak_ptr<TcpStream>> m_lastWrites; ///< streams that close once their responses are sent
+    std::vector<std::weak_ptr<TcpStream>> m_lastWrites; ///< streams that close once their responses are sent, oldest first
+    std::size_t m_maxConnections = std::numeric_limits<std::size_t>::max();
     std::size_t m_unsentAtMost = 0; ///< upper bound of the unsent bytes of all connections
     bool m_closing = false;
 };
--- a/packages/net/httpreader.cpp
+++ b/packages/net/httpreader.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cctype>
 #include <limits>
+#include <new>
 #include <strings.h>
 
 namespace Yuccagrade
@@ -15,6 +16,15 @@
 constexpr std::size_t maxFramingRatio = 16;
 // Limit of the framing beyond the size of the body: bodies of tiny chunks cost much processor time for few bytes.
 constexpr std::size_t maxFramingBytes = 1U << 20U;
+// A larger body of a request gets all of its memory at once: a growing string needs the old and the new memory while it moves. The system
+// provides only the pages that are written.
+constexpr std::size_t minReservedBytes = 64U << 10U;
+// The same for a body without a stated length, which gets the memory of the largest body.
+constexpr std::size_t minReservedChunkedBytes = 1U << 20U;
+// Memory of a string beyond its content that may have been written to before; the system provides larger blocks page by page.
+constexpr std::size_t maxUsedSpareBytes = 128U << 10U;
+// Short fields of a complete header lie in an array that has grown to up to twice its content.
+constexpr std::size_t minShrunkFields = 64;
 constexpr std::array<std::string_view, 8>
     connectionFields{"connection", "keep-alive", "proxy-connection", "te", "trailer", "upgrade", "transfer-encoding", "content-length"};
 
@@ -135,6 +145,9 @@
                 return -1;
             }
         }
+        if (message.fields.size() >= minShrunkFields) {
+            message.fields.shrink_to_fit();
+        }
         message.status = static_cast<int>(parser->status_code);
         if (reader.m_kind == HttpReader::Kind::Request) {
             message.method = http_method_str(static_cast<http_method>(parser->method));
@@ -159,6 +172,7 @@
             reader.m_state = HttpReader::State::BodyTooLarge;
             return 1;
         }
+        reader.reserveBody(length);
         reader.m_message.body.append(at, length);
         reader.m_bodyProgressed = true;
         return 0;
@@ -247,6 +261,29 @@
     m_inValue = false;
 }
 
+void HttpReader::reserveBody(std::size_t moreBytes)
+{
+    std::string &body = m_message.body;
+    const std::size_t size = body.size() + moreBytes;
+    const bool hasLength = (m_parser.flags & F_CONTENTLENGTH) != 0;
+    if (m_kind != Kind::Request || size <= body.capacity() || size < (hasLength ? minReservedBytes : minReservedChunkedBytes)) {
+        return;
+    }
+    try {
+        // The parser has subtracted the present part from the length, which was compared with the limit before.
+        body.reserve(hasLength ? size + static_cast<std::size_t>(m_parser.content_length) : m_limits.maxBodyBytes);
+    } catch (const std::bad_alloc &) {
+        // A system that grants no memory beyond its own may refuse it; the body then grows step by step.
+    }
+}
+
+// Each name and value is a string of its own, which takes up to as much again as its content.
+std::size_t HttpReader::heldBytes() const
+{
+    const std::string &body = m_message.body;
+    return 2 * m_headerBytes + m_message.fields.capacity() * sizeof(HttpMessage::Field) + std::min(body.capacity(), body.size() + maxUsedSpareBytes);
+}
+
 // In the values of framing fields the parser takes blanks for blanks, but not tabs, so it is given blanks instead.
 std::size_t HttpReader::execute(std::string_view data)
 {
--- a/packages/net/httpreader.h
+++ b/packages/net/httpreader.h
@@ -85,11 +85,8 @@
     {
         m_noBody = expected;
     }
-    /// Returns the memory held for the present message.
-    std::size_t heldBytes() const
-    {
-        return m_headerBytes + m_message.fields.capacity() * sizeof(HttpMessage::Field) + m_message.body.capacity();
-    }
+    /// Returns the memory held for the present message, as the system counts it.
+    std::size_t heldBytes() const;
     const HttpReaderLimits &limits() const
     {
         return m_limits;
@@ -102,6 +99,7 @@
 private:
     friend struct HttpReaderCallbacks;
     void restart();
+    void reserveBody(std::size_t moreBytes);
     std::size_t execute(std::string_view data);
 
     Kind m_kind;
--- a/packages/net/tcp.cpp
+++ b/packages/net/tcp.cpp
@@ -119,7 +119,10 @@
         m_writeBlocked = false;
         flush();
     }
-    if (isOpen() && (readiness & EventLoop::Readable)) {
+    if (isOpen() && m_paused && (readiness & EventLoop::Readable) && !(m_watched & EventLoop::Readable)) {
+        // The connection broke: nothing else is reported while reading is paused, and it would be in every turn.
+        fail(false);
+    } else if (isOpen() && (readiness & EventLoop::Readable)) {
         readAll();
     }
     updateWatch();
@@ -154,6 +157,7 @@
             if (const auto hook = onData) {
                 hook({buffer.data(), static_cast<std::size_t>(got)});
             }
+            m_loop.countReceived(static_cast<std::size_t>(got));
             if (static_cast<std::size_t>(got) < buffer.size()) {
                 return;
             }
@@ -210,6 +214,8 @@
     releaseSent();
     if (m_lingering) {
         ::shutdown(m_descriptor, SHUT_WR);
+    } else if (const auto hook = onDrained) {
+        hook();
     }
 }
 
@@ -252,6 +258,7 @@
     m_loop.cancel(m_lingerTimer);
     onData = nullptr;
     onConnected = nullptr;
+    onDrained = nullptr;
     onClosed = nullptr;
 }
 
@@ -263,6 +270,7 @@
     m_lingering = true;
     m_paused = false;
     onData = nullptr;
+    onDrained = nullptr;
     onClosed = nullptr;
     m_lingerProgressAt = m_loop.clock().now();
     m_lingerSent = m_sent;
--- a/packages/net/tcp.h
+++ b/packages/net/tcp.h
@@ -28,6 +28,8 @@
     std::function<void(std::string_view)> onData;
     /// The connection was established.
     std::function<void()> onConnected;
+    /// All queued bytes were handed to the system.
+    std::function<void()> onDrained;
     /// The peer closed the connection or it broke. @p clean is false for a reset or a time-out. The stream is closed.
     std::function<void(bool clean)> onClosed;
 
--- a/tests/mesh/meshtest.cpp
+++ b/tests/mesh/meshtest.cpp
@@ -5,6 +5,7 @@
 #include "mesh/memoryguard.h"
 #include "mesh/meshsettings.h"
 #include "mesh/messages.h"
+#include "mesh/portlimits.h"
 
 #include <algorithm>
 #include <fstream>
@@ -459,6 +460,64 @@
                >= 1);
 }
 
+// Guards against ports that together take all descriptors, and against limits that ordinary callers reach.
+BOOST_AUTO_TEST_CASE(portLimitsLeaveDescriptorsToTheProcess)
+{
+    for (const std::size_t descriptors : {256U, 1'024U, 65'536U}) {
+        const PortLimits node = portLimits(HostRole::Node, descriptors, 64'000'000);
+        BOOST_TEST(node.callers + 3 * node.small + node.peers <= descriptors / 8 * 7);
+        BOOST_TEST(node.callers >= descriptors / 8 * 3 / (descriptors > 10'000 ? 8 : 1));
+        const PortLimits control = portLimits(HostRole::Control, descriptors, 64'000'000);
+        BOOST_TEST(control.callers + control.small + control.peers <= descriptors / 8 * 7);
+    }
+}
+
+// Guards against bytes beyond the limit that arrive between two periodic checks.
+BOOST_AUTO_TEST_CASE(memoryGuardChecksAfterReceivedBytes)
+{
+    constexpr std::size_t limitBytes = 6'400;
+    EventLoop loop;
+    EventLog log(loop.clock(), "test", "-", Severity::Error);
+    Metrics metrics;
+    MemoryGuard guard(loop, log, metrics, limitBytes);
+    std::size_t held = 2 * limitBytes;
+    guard.add({"requests",
+               [&] {
+                   return held;
+               },
+               [&] {
+                   held = 0;
+                   return true;
+               }});
+    loop.countReceived(limitBytes / 64 - 1);
+    BOOST_TEST(held > 0U);
+    loop.countReceived(1);
+    BOOST_TEST(held == 0U);
+}
+
+// Guards against requests that are accepted one after the other between two checks although only one fits.
+BOOST_AUTO_TEST_CASE(memoryGuardCountsAcceptedRequests)
+{
+    EventLoop loop;
+    EventLog log(loop.clock(), "test", "-", Severity::Error);
+    Metrics metrics;
+    MemoryGuard guard(loop, log, metrics, 100);
+    std::size_t held = 0;
+    guard.add({"requests",
+               [&] {
+                   return held;
+               },
+               nullptr});
+    held = 60;
+    BOOST_TEST(guard.hasRoomFor(60));
+    held = 120;
+    BOOST_TEST(!guard.hasRoomFor(60));
+    // A large request is counted as a part of what is held and not once more.
+    held = 90;
+    guard.check();
+    BOOST_TEST(guard.hasRoomFor(90));
+}
+
 // Guards against a settings page that differs from the options that the program accepts.
 BOOST_AUTO_TEST_CASE(settingsPageMatchesTheTable)
 {
--- a/tests/net/porttest.cpp
+++ b/tests/net/porttest.cpp
@@ -587,3 +587,139 @@
     BOOST_TEST(reading->received.ends_with("small"));
     BOOST_TEST(peak - before < processBytes, peak - before);
 }
+
+// Guards against slow clients that take all connections of a port, and against closing those whose requests run for them.
+BOOST_AUTO_TEST_CASE(tooManyConnectionsCloseTheSlowestOne)
+{
+    EventLoop loop;
+    std::vector<std::shared_ptr<PortExchange>> running;
+    HttpPort port(loop, [&](const std::shared_ptr<PortExchange> &exchange) {
+        if (exchange->request().target == "/run") {
+            running.push_back(exchange);
+        } else {
+            exchange->respond(responseHead(200), {});
+        }
+    });
+    int closed = 0;
+    port.setMaxConnections(3);
+    port.onTooManyConnections = [&] {
+        ++closed;
+    };
+    BOOST_REQUIRE(!port.listen("127.0.0.1:0"));
+    const std::string end = " HTTP/1.1\r\nHost: h\r\n\r\n";
+    TestClient runs(loop, port.address(), "GET /run" + end);
+    TestClient idle(loop, port.address(), "GET /" + end);
+    TestClient slow(loop, port.address(), "GET / HT");
+    std::unique_ptr<TestClient> next;
+    std::unique_ptr<TestClient> last;
+    loop.after(800, [&] {
+        next = std::make_unique<TestClient>(loop, port.address(), "GET /run" + end);
+    });
+    loop.after(1'000, [&] {
+        BOOST_TEST(slow.closed);
+        BOOST_TEST(!idle.closed);
+        last = std::make_unique<TestClient>(loop, port.address(), "GET /run" + end);
+    });
+    std::unique_ptr<TestClient> surplus;
+    loop.after(1'200, [&] {
+        BOOST_TEST(idle.closed);
+        surplus = std::make_unique<TestClient>(loop, port.address(), "GET /" + end);
+    });
+    loop.after(1'400, [&] {
+        loop.stop();
+    });
+    runBounded(loop);
+    BOOST_TEST(running.size() == 3U);
+    BOOST_TEST(!runs.closed);
+    BOOST_TEST(surplus->closed);
+    BOOST_TEST(port.connections() == 3U);
+    BOOST_TEST(closed == 3);
+}
+
+// Guards against a connection with many requests that keeps the others waiting until all of its own are handled.
+BOOST_AUTO_TEST_CASE(pipeliningConnectionLeavesTurnsToOthers)
+{
+    constexpr int pipelined = 400;
+    const std::string request = "GET /many HTTP/1.1\r\nHost: h\r\n\r\n";
+    std::string many;
+    for (int i = 0; i < pipelined; ++i) {
+        many += request;
+    }
+    EventLoop loop;
+    int handled = 0;
+    int handledBeforeOther = -1;
+    std::unique_ptr<TestClient> other;
+    HttpPort port(loop, [&](const std::shared_ptr<PortExchange> &exchange) {
+        if (exchange->request().target == "/other") {
+            handledBeforeOther = handled;
+        } else if (++handled == 1) {
+            other = std::make_unique<TestClient>(loop, port.address(), "GET /other HTTP/1.1\r\nHost: h\r\n\r\n");
+        }
+        exchange->respond(responseHead(200), {});
+    });
+    BOOST_REQUIRE(!port.listen("127.0.0.1:0"));
+    TestClient client(loop, port.address(), many);
+    client.onChange = [&] {
+        if (handled == pipelined && handledBeforeOther >= 0) {
+            loop.stop();
+        }
+    };
+    runBounded(loop);
+    BOOST_TEST(handledBeforeOther < pipelined / 4);
+    BOOST_TEST(handled == pipelined);
+}
+
+// Guards against requests that are handed over, and so may run, although there is no memory for them.
+BOOST_AUTO_TEST_CASE(requestWithoutMemoryIsRefusedUnrun)
+{
+    EventLoop loop;
+    int handled = 0;
+    HttpPort port(loop, [&](const std::shared_ptr<PortExchange> &exchange) {
+        ++handled;
+        exchange->respond(responseHead(200), {});
+    });
+    port.hasMemoryFor = [](std::size_t bytes) {
+        return bytes < 100'000;
+    };
+    BOOST_REQUIRE(!port.listen("127.0.0.1:0"));
+    TestClient client(loop, port.address(), "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n" + std::string(200'000, 'x'));
+    client.onChange = [&] {
+        if (client.received.find("\r\n\r\n") != std::string::npos) {
+            loop.stop();
+        }
+    };
+    runBounded(loop);
+    BOOST_TEST(handled == 0);
+    BOOST_TEST(client.received.starts_with("HTTP/1.1 503"));
+}
+
+// Guards against header fields that count with the bytes they were sent in, although each takes far more memory.
+BOOST_AUTO_TEST_CASE(shortFieldsCountWithTheirMemory)
+{
+    constexpr std::size_t fields = 4'000;
+    std::string request = "GET / HTTP/1.1\r\n";
+    for (std::size_t i = 0; i < fields; ++i) {
+        request += "a:\r\n";
+    }
+    HttpReader reader(HttpReader::Kind::Request);
+    reader.read(request);
+    BOOST_TEST(reader.heldBytes() >= fields * sizeof(HttpMessage::Field));
+}
+
+// Guards against a large body that needs twice its memory while it is read, and one that counts as whole before it is.
+BOOST_AUTO_TEST_CASE(bodyMovesNotWhileItGrows)
+{
+    constexpr std::size_t bytes = 8U << 20U;
+    const std::string part(64U << 10U, 'x');
+    HttpReader reader(HttpReader::Kind::Request);
+    reader.read("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(bytes) + "\r\n\r\n");
+    reader.read(part);
+    const char *start = reader.message().body.data();
+    BOOST_TEST(reader.heldBytes() < 1U << 20U);
+    while (reader.state() == HttpReader::State::Reading) {
+        reader.read(part);
+    }
+    BOOST_TEST((reader.state() == HttpReader::State::Complete));
+    BOOST_TEST(reader.message().body.data() == start);
+    BOOST_TEST(reader.message().body.size() == bytes);
+}
