--- a/packages/net/httpport.cpp
+++ b/packages/net/httpport.cpp
@@ -192,6 +192,7 @@
     // Reads no request after the one that has begun to arrive. The client sends requests behind the last response again.
     void readNoFurtherRequest()
     {
+        const auto self = shared_from_this(); // the connection may end
         m_lastRequest = true;
         std::string().swap(m_held);
         if (m_reader.state() != HttpReader::State::Idle) {
@@ -543,8 +544,7 @@
         return false;
     }
     if ((*pipelining)->pipelinedBytes() > (*largest)->refusableBytes()) {
-        const auto connection = *pipelining; // may end now
-        connection->readNoFurtherRequest();
+        (*pipelining)->readNoFurtherRequest();
         return true;
     }
     (*largest)->refuseRequest(unavailableStatus, "no memory");
--- a/tests/integration/mesh_clients.cpp
+++ b/tests/integration/mesh_clients.cpp
@@ -138,8 +138,10 @@
             if (descriptor < 0) {
                 throw std::runtime_error("no socket for a client");
             }
-            ::connect(descriptor, reinterpret_cast<const sockaddr *>(&target), sizeof target);
             m_clients.push_back({descriptor});
+            if (::connect(descriptor, reinterpret_cast<const sockaddr *>(&target), sizeof target) != 0 && errno != EINPROGRESS) {
+                throw std::runtime_error("no connection to " + address);
+            }
         }
     }
     ~Crowd()
@@ -319,7 +321,7 @@
     std::string limitedProgram() const
     {
         const char *other = std::getenv("YUCCAGRADE_DAEMON");
-        const std::string path = m_folder + "/limited";
+        std::string path = m_folder + "/limited";
         std::ofstream(path) << "#!/bin/sh\nulimit -n " << descriptorLimit << "\nexec \"" << (other ? other : YUCCAGRADED_PROGRAM) << "\" \"$@\"\n";
         std::filesystem::permissions(path, std::filesystem::perms::owner_all);
         return path;
