Directory: cold upstreams without a load report count with their limited rate

Until the first report of a cold upstream, nodes chose it by its announced slots, and its node refused most of the calls. The configuration names the rate that it takes, so the choice knows what fits.

--- a/packages/meshnode/callbroker.cpp
+++ b/packages/meshnode/callbroker.cpp
@@ -77,6 +77,13 @@
     dropChangedWeights(*config);
     m_config = std::move(config);
     m_configAtMs = now();
+    std::map<std::string, double> coldRates;
+    for (const ServiceSpec &service : m_config->services) {
+        if (service.coldRatePerS > 0) {
+            coldRates[service.name] = service.coldRatePerS;
+        }
+    }
+    m_directory.setColdRates(std::move(coldRates));
     for (const Denial &denial : m_denials.setConfig(m_config)) {
         m_metrics.count("denials_outdated_total", denial.key.empty() ? "unknown=\"route\"" : "unknown=\"key\"");
         m_log.write(Event::DenialOutdated,
--- a/packages/meshnode/directory.cpp
+++ b/packages/meshnode/directory.cpp
@@ -17,6 +17,8 @@
 constexpr double avoidMs = 300;
 constexpr int maxAvoidSteps = 4;
 constexpr int assumedLimit = 8; // for upstreams that state no slots
+constexpr double assumedServiceMs = 100; // of calls of an unknown kind
+constexpr double msPerSecond = 1'000;
 }
 
 Directory::Directory(std::string domain, Random random)
@@ -92,6 +94,11 @@
     });
 }
 
+void Directory::setColdRates(std::map<std::string, double> ratePerS)
+{
+    m_coldRates = std::move(ratePerS);
+}
+
 void Directory::setEvacuatedDomains(const std::vector<std::string> &domains)
 {
     m_evacuatedDomains = {domains.begin(), domains.end()};
@@ -116,6 +123,11 @@
         result.serviceMs = time->second.ms;
         result.serviceAgeMs = nowMs - time->second.atMs;
     }
+    const auto coldRate = m_coldRates.find(upstream.entry.service);
+    if (upstream.entry.warmUpLeftMs > 0 && coldRate != m_coldRates.end()) {
+        // Its node refuses calls beyond the rate, however many slots are free.
+        result.slots = std::clamp(coldRate->second * (result.serviceMs > 0 ? result.serviceMs : assumedServiceMs) / msPerSecond, 1.0, result.slots);
+    }
     const double declined = upstream.load.declinedShare > 0 ? upstream.load.declinedShare * std::exp(-age / declinedDecayMs) : 0;
     result.servedShare = (1 - declined) * (1 - upstream.failedShare.value(nowMs));
     result.isCold = upstream.entry.warmUpLeftMs > 0;
--- a/packages/meshnode/directory.h
+++ b/packages/meshnode/directory.h
@@ -52,6 +52,8 @@
                                 const std::function<bool(const std::string &peerAddress)> &reachable,
                                 double nowMs,
                                 const AllowedRegions &regions = {});
+    /// Sets the requests per second that cold upstreams of a service take, for services that limit them.
+    void setColdRates(std::map<std::string, double> ratePerS);
     /// Sets the failure domains to whose upstreams no calls are sent.
     void setEvacuatedDomains(const std::vector<std::string> &domains);
     /// Returns why the latest call of choose() returned its upstream.
@@ -115,6 +117,7 @@
     std::vector<ChoiceCandidate> m_candidates;
     std::vector<const UpstreamEntry *> m_candidateEntries;
     std::map<std::string, Upstream, std::less<>> m_upstreams;
+    std::map<std::string, double> m_coldRates; ///< requests per second by service
     std::set<std::string> m_evacuatedDomains;
     std::set<std::string> m_removed; ///< ids removed by the leader since the last whole directory
 };
--- a/packages/net/tcp.cpp
+++ b/packages/net/tcp.cpp
@@ -260,7 +260,6 @@
     onConnected = nullptr;
     onDrained = nullptr;
     onClosed = nullptr;
-    onDrained = nullptr;
 }
 
 void TcpStream::closeAfterWrites()
@@ -273,7 +272,6 @@
     onData = nullptr;
     onDrained = nullptr;
     onClosed = nullptr;
-    onDrained = nullptr;
     m_lingerProgressAt = m_loop.clock().now();
     m_lingerSent = m_sent;
     scheduleLingerCheck();
--- a/packages/net/tcp.h
+++ b/packages/net/tcp.h
@@ -32,8 +32,6 @@
     std::function<void()> onDrained;
     /// The peer closed the connection or it broke. @p clean is false for a reset or a time-out. The stream is closed.
     std::function<void(bool clean)> onClosed;
-    /// All queued bytes were handed to the system.
-    std::function<void()> onDrained;
 
     /// Queues bytes; they are written together at the end of the present event.
     void write(std::string_view data);
--- a/tests/meshnode/decisiontest.cpp
+++ b/tests/meshnode/decisiontest.cpp
@@ -156,6 +156,27 @@
     BOOST_TEST(directory.makesCalls("stock"));
 }
 
+// Guards against calls that pile up at a cold upstream before its first load report, because its slots are free.
+BOOST_AUTO_TEST_CASE(coldUpstreamGetsWhatItsRateAllows)
+{
+    Directory directory("north", Random(1));
+    UpstreamEntry cold = upstream("2", "north");
+    cold.warmUpLeftMs = 3'000;
+    directory.replace({cold, upstream("3", "north")});
+    const auto callsToCold = [&directory] {
+        int calls = 0;
+        for (int i = 0; i < 200; ++i) {
+            calls += directory.choose("stock", 1, 400, 1'000, {}, allReachable, 1'000)->id == "2" ? 1 : 0;
+        }
+        return calls;
+    };
+    const int unlimited = callsToCold();
+    directory.setColdRates({{"stock", 13}});
+    const int limited = callsToCold();
+    BOOST_TEST(limited < 20);
+    BOOST_TEST(limited < unlimited);
+}
+
 // Guards against preferring a full upstream in the own domain to an idle one in another domain.
 BOOST_AUTO_TEST_CASE(choiceFollowsTheLoad)
 {
