mesh_operator: a mesh that does not start is reported as such

The constructor of its fixture threw, since no configuration was accepted within 20 s, while the thread of the event loop ran. The thread is joined first now, so the exception is reported. Why the mesh did not start in time is not known; alone the test passed.

--- a/tests/integration/mesh_operator.cpp
+++ b/tests/integration/mesh_operator.cpp
@@ -167,12 +167,17 @@
         m_thread = std::thread([this] {
             m_loop.run();
         });
-        publish(m_controls, Change(0, 1), startBoundMs);
+        try {
+            publish(m_controls, Change(0, 1), startBoundMs);
+        } catch (...) {
+            // No destructor runs for an object whose constructor throws, and a running thread would end the test program.
+            stopLoop();
+            throw;
+        }
     }
     ~OperatedMesh()
     {
-        m_stopping = true;
-        m_thread.join();
+        stopLoop();
         if (!std::getenv("YUCCAGRADE_KEEP_FOLDER")) {
             std::error_code ignored;
             std::filesystem::remove_all(m_folder, ignored);
@@ -206,6 +211,11 @@
             throw std::runtime_error("version " + std::to_string(change.version) + " was not accepted");
         }
     }
+    void stopLoop()
+    {
+        m_stopping = true;
+        m_thread.join();
+    }
     /// Waits for the control host that answers with the configuration in force. All other hosts have to follow it.
     Host &leader()
     {
