Small shares of a team's rate are used while no leader answers

A node takes tokens of its own share then. With 60 nodes, the share of most teams yields less than one token in that time, and only whole tokens counted. Each token is taken at a random threshold between 0 and 1 now, so that the tokens of a node equal those of its share on average, and all nodes together stay at the rate.

--- a/packages/meshnode/teamratelimiter.cpp
+++ b/packages/meshnode/teamratelimiter.cpp
@@ -129,6 +129,9 @@
     return true;
 }
 
+// In a large fleet a node's share of a rate yields less than one token while no leader answers, so with whole tokens nearly all
+// requests within the limit were refused then. With a random threshold between 0 and 1 for each token, the tokens that a node
+// takes equal those of its share on average, so all nodes together stay at the rate.
 TeamRateLimiter::Result TeamRateLimiter::takeFromOwnShare(Bucket &bucket, const Team &team, double nowMs)
 {
     const double ratePerS = team.ratePerS * bucket.share;
@@ -136,11 +139,12 @@
     const double accrued = bucket.shareTokens + elapsed * ratePerS / msPerSecond;
     bucket.shareTokens = std::min(maxShareTokens(bucket.share, team.burst), accrued);
     bucket.shareUpdatedMs = nowMs;
-    if (bucket.shareTokens < 1) {
+    if (bucket.shareTokens < bucket.shareThreshold) {
         bucket.usage.refused += 1;
         return Result::Refused;
     }
     bucket.shareTokens -= 1;
+    bucket.shareThreshold = m_random.fraction();
     bucket.takenFromShare += 1;
     bucket.usage.fromShare += 1;
     return Result::Taken;
@@ -191,6 +195,7 @@
         m_leaseEndMs = leaseEndMs;
         for (auto &[team, bucket] : m_buckets) {
             bucket.shareTokens = 0;
+            bucket.shareThreshold = m_random.fraction();
             bucket.takenBeforeContact = bucket.takenFromShare;
         }
     }
--- a/packages/meshnode/teamratelimiter.h
+++ b/packages/meshnode/teamratelimiter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/random.h"
 #include "mesh/fleetconfig.h"
 #include "mesh/messages.h"
 
@@ -34,6 +35,7 @@
     /// @param processId tells the accounts of this process from those of earlier ones of the node.
     explicit TeamRateLimiter(std::uint32_t processId)
         : m_account(static_cast<std::uint64_t>(processId) << 32U | 1U)
+        , m_random(processId)
     {
     }
 
@@ -81,6 +83,7 @@
         double share = 0;
         double shareTokens = 0; ///< from this node's share
         double shareUpdatedMs = 0;
+        double shareThreshold = 1; ///< of shareTokens, at which the next one may be taken
         double takenFromShare = 0; ///< tokens since the start of the process
         double takenBeforeContact = 0; ///< value of takenFromShare at the last answer of a leader
         std::uint64_t reserveRequest = 0; ///< sequence of the newest request that included a reserve
@@ -105,6 +108,7 @@
     std::uint64_t m_lastRequest = 0;
     double m_lateUntilMs = 0; ///< until then, requests include tokens for times without an answer
     std::uint64_t m_account;
+    Random m_random;
     std::uint64_t m_answeredSequence = 0; ///< in the present account
     bool m_isFullReportDue = true;
     double m_contactMs = 0; ///< time of the last answer of a leader
--- a/tests/meshnode/decisiontest.cpp
+++ b/tests/meshnode/decisiontest.cpp
@@ -385,3 +385,33 @@
     meter.startAccount();
     BOOST_TEST(!meter.addGrant({"red", 1, 0, report.account}, 10'002));
 }
+
+// Guards against refusing nearly all requests within a limit while no leader answers, because the share of each of many nodes
+// yields less than one token, and against taking more than the rate then.
+BOOST_AUTO_TEST_CASE(smallSharesServeRequestsWithoutALeader)
+{
+    constexpr std::size_t nodes = 60;
+    constexpr double absenceMs = 1'500;
+    const Team team{"red", {}, std::nullopt, 40, 40};
+    const double tokens = team.ratePerS * absenceMs / 1'000;
+    Random random(3);
+    int taken = 0;
+    for (std::size_t i = 0; i < nodes; ++i) {
+        TeamRateLimiter limiter(static_cast<std::uint32_t>(i));
+        limiter.requestTokens = [](const TokenRequest &) {
+            return false;
+        };
+        SyncMessage report;
+        limiter.fillReport(report, 0);
+        SyncReplyMessage reply;
+        reply.account = report.account;
+        reply.shares = {{"red", 1.0 / nodes, 0}};
+        limiter.applyReply(reply, 10'000, 1'000);
+        // Demand of the whole rate.
+        for (double now = 1'000 + random.fraction() * absenceMs; now < 1'000 + absenceMs; now += absenceMs) {
+            taken += limiter.tryTake(team, now) == TeamRateLimiter::Result::Taken ? 1 : 0;
+        }
+    }
+    BOOST_TEST(taken > tokens / 3);
+    BOOST_TEST(taken <= tokens);
+}
