--- a/packages/base/eventlog.cpp
+++ b/packages/base/eventlog.cpp
@@ -87,6 +87,7 @@
     {Event::TeamOverRate, Info, "team-over-rate", "A request was refused because its team is over its rate."},
     {Event::TeamTokensTaken, Info, "team-tokens-taken", "Tokens of a team over its rate, or without the leader, since the last report."},
     {Event::ReportIncomplete, Info, "report-incomplete", "A report contained changes since one that the leader does not know; the full demand is asked for."},
+    {Event::RetriesScarce, Info, "retries-scarce", "The retry budget of a service does not suffice for the calls that it declines, or does again."},
     {Event::ClaimGroupChanged, Info, "claim-group-changed", "A claim group has a new epoch."},
     {Event::ClaimRefused, Info, "claim-refused", "A claim replica refused a claim."},
     {Event::ClaimReplicaAbstains, Info, "claim-replica-abstains", "This claim replica has no complete copy and abstains."},
--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -65,6 +65,7 @@
     TeamOverRate = 501,
     TeamTokensTaken = 502,
     ReportIncomplete = 503,
+    RetriesScarce = 504,
     ClaimGroupChanged = 600,
     ClaimRefused = 601,
     ClaimReplicaAbstains = 602,
--- a/packages/meshcontrol/meshcontrol.cpp
+++ b/packages/meshcontrol/meshcontrol.cpp
@@ -82,7 +82,7 @@
     void applyEvacuation(std::uint64_t index, const EvacuationOrder &order);
     void answerMetrics(const ExchangePtr &exchange);
     void loadTeamRates();
-    LevelController makeLevelController() const;
+    LevelController makeLevelController();
     void storeDrains(const SyncMessage &message);
     void guardMemory();
     void limitConnections();
@@ -554,10 +554,15 @@
     reply.directory = compressedDirectory(reply.directoryBase);
 }
 
-LevelController ControlHost::makeLevelController() const
+LevelController ControlHost::makeLevelController()
 {
     const FleetLimits &limits = m_settings.fleetLimits;
-    return LevelController(RetryShortage(limits.retryRatio, limits.retryPerWindow, limits.retryWindowMs));
+    RetryShortage shortage(limits.retryRatio, limits.retryPerWindow, limits.retryWindowMs);
+    shortage.onChanged = [this](const std::string &service, bool isShort) {
+        m_metrics.gauge("retries_scarce", isShort ? 1 : 0, "service=\"" + service + '"');
+        m_log.write(Event::RetriesScarce, {{"service", service}, {"scarce", isShort ? "yes" : "no"}});
+    };
+    return LevelController(std::move(shortage));
 }
 
 // Gives the registry the rate limits of the accepted configuration.
--- a/packages/meshcontrol/retryshortage.cpp
+++ b/packages/meshcontrol/retryshortage.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace Yuccagrade::Mesh
 {
@@ -35,7 +36,10 @@
     const double budgetPerS = usableShare * (m_ratio * std::max(calls.perS, callsPerS) + m_perS);
     const double declined = std::clamp(declinedShare, 0.0, maxDeclinedShare);
     const double neededPerS = callsPerS * declined / (1 - declined);
-    calls.isShort = neededPerS > budgetPerS * (calls.isShort ? endShare : 1);
+    const bool isShort = neededPerS > budgetPerS * (calls.isShort ? endShare : 1);
+    if (std::exchange(calls.isShort, isShort) != isShort && onChanged) {
+        onChanged(service, isShort);
+    }
 }
 
 bool RetryShortage::isShort(const std::string &service) const
--- a/packages/meshcontrol/retryshortage.h
+++ b/packages/meshcontrol/retryshortage.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 
+#include <functional>
 #include <map>
 #include <string>
 
@@ -13,6 +14,9 @@
 class RetryShortage
 {
 public:
+    /// Called when a shortage begins or ends.
+    std::function<void(const std::string &service, bool isShort)> onChanged;
+
     RetryShortage() = default;
     /// @param ratio retries per request; @param perWindow fixed number of retries of all nodes per window.
     RetryShortage(double ratio, double perWindow, TimeMs windowMs);
