A declined call without a link to its upstream's node ends

Found in review: once a call had been sent to as many upstreams as its route permits, each turn of dispatch() made those that declined it eligible again. If no connection to the chosen one could be opened, such as for want of descriptors, dispatch() called itself without end. They are made eligible once for each declined attempt now. Not reproduced by a test.

--- a/packages/meshnode/callbroker.cpp
+++ b/packages/meshnode/callbroker.cpp
@@ -341,11 +341,6 @@
 bool CallBroker::dispatch(const CallPtr &call)
 {
     const bool repeatsDeclined = call->arrivals >= call->route->maxAttempts;
-    if (repeatsDeclined) {
-        for (const auto &[id, address] : call->declinedBy) {
-            call->tried.erase(id);
-        }
-    }
     const UpstreamEntry *upstream = m_directory.choose(
         call->service,
         call->kind,
@@ -446,8 +441,8 @@
 }
 
 // A retry of a call that reached an upstream takes tokens of the retry budget. While the service's admission level is above
-// 0 or a service below it is short of retries, error responses are not retried: most are caused by a refused nested call, and a retry would repeat all nested
-// calls.
+// 0 or a service below it is short of retries, error responses are not retried: most are caused by a refused nested call, and a
+// retry would repeat all nested calls.
 bool CallBroker::takeRetryTokens(const Call &call, CallOutcome outcome)
 {
     const double at = now();
@@ -500,6 +495,12 @@
     if (reply.outcome == CallOutcome::Declined) {
         ++call->declines;
         call->declinedBy[call->upstreamId] = call->peerAddress.empty() ? m_identity.peerAddress : call->peerAddress;
+        if (call->arrivals >= call->route->maxAttempts) {
+            // No further upstream is permitted, so those that declined the call are tried again.
+            for (const auto &[id, address] : call->declinedBy) {
+                call->tried.erase(id);
+            }
+        }
     }
     if (reply.outcome == CallOutcome::Answered && reply.status < firstServerError) {
         answerCaller(call, std::move(reply));
