Retry budget: the shortage expires, and nothing differs without one

It ends with the levels, after 4 s, and at the leader once no node of the service reports. - Random arrivals at small rates let requests count more than once, also in calm.

--- a/packages/meshcontrol/retryshortage.cpp
+++ b/packages/meshcontrol/retryshortage.cpp
@@ -33,6 +33,7 @@
     const double elapsed = calls.updatedAt == 0 ? static_cast<double>(m_windowMs) : static_cast<double>(now - calls.updatedAt);
     calls.perS += (callsPerS - calls.perS) * (1 - std::exp(-elapsed / static_cast<double>(m_windowMs)));
     calls.updatedAt = now;
+    m_updatedAt = now;
     const double budgetPerS = usableShare * (m_ratio * std::max(calls.perS, callsPerS) + m_perS);
     const double declined = std::clamp(declinedShare, 0.0, maxDeclinedShare);
     const double neededPerS = callsPerS * declined / (1 - declined);
@@ -45,6 +46,6 @@
 bool RetryShortage::isShort(const std::string &service) const
 {
     const auto found = m_calls.find(service);
-    return found != m_calls.end() && found->second.isShort;
+    return found != m_calls.end() && found->second.updatedAt == m_updatedAt && found->second.isShort;
 }
 }
--- a/packages/meshcontrol/retryshortage.h
+++ b/packages/meshcontrol/retryshortage.h
@@ -23,6 +23,7 @@
 
     /// Sets the first attempts per second of all nodes at a service, and the share of all attempts that it declines.
     void update(const std::string &service, double callsPerS, double declinedShare, TimeMs now);
+    /// Returns false for a service that was left out of the last updates, since none of its nodes reports.
     bool isShort(const std::string &service) const;
 
 private:
@@ -34,6 +35,7 @@
     double m_ratio = 0;
     double m_perS = 0; ///< fixed number of retries per second
     TimeMs m_windowMs = 0;
+    TimeMs m_updatedAt = 0; ///< of the services that are reported at present
     std::map<std::string, Calls> m_calls;
 };
 }
--- a/packages/meshnode/admissioncontrol.cpp
+++ b/packages/meshnode/admissioncontrol.cpp
@@ -8,8 +8,6 @@
 {
 // Priorities range from 0 (highest) to 2; larger values are treated as 2.
 constexpr int lowestPriority = 2;
-// Levels are ignored after this time without an update of the leader.
-constexpr double levelValidMs = 4'000;
 }
 
 AdmissionControl::AdmissionControl(Random random)
--- a/packages/meshnode/admissioncontrol.h
+++ b/packages/meshnode/admissioncontrol.h
@@ -10,6 +10,9 @@
 
 namespace Yuccagrade::Mesh
 {
+/// Levels are ignored after this time without an update of the leader.
+constexpr double levelValidMs = 4'000;
+
 /// Admits or refuses new requests by the level that the leader computed for their service and the services that it calls.
 /// The lowest priority is refused first. Admitted requests, including their nested calls, are not checked again.
 class AdmissionControl
--- a/packages/meshnode/callbroker.cpp
+++ b/packages/meshnode/callbroker.cpp
@@ -237,7 +237,8 @@
             m_callersOfShortServices.insert(level.service);
         }
     }
-    m_retryBudget.setExclusive(std::move(shortOfRetries));
+    m_levelsUntilMs = now() + levelValidMs;
+    m_retryBudget.setScarce(std::move(shortOfRetries), m_levelsUntilMs);
 }
 
 std::vector<std::string> CallBroker::calledServices() const
@@ -358,6 +359,10 @@
     if (!upstream) {
         return false;
     }
+    if (repeatsDeclined && !call->declinedBy.contains(upstream->id)) {
+        call->tried.insert(upstream->id); // a later incarnation on the same host
+        return dispatch(call);
+    }
     m_metrics.count("upstream_choices_total", "reason=\"" + std::string(choiceReasonNames[static_cast<std::size_t>(m_directory.choiceReason())]) + '"');
     const bool local = upstream->peerAddress == m_identity.peerAddress;
     FrameLink *link = local ? nullptr : m_links.link(upstream->peerAddress);
@@ -449,7 +454,8 @@
     if (outcome == CallOutcome::NotOffered) {
         return true;
     }
-    if (outcome == CallOutcome::Answered && (m_admissionControl.level(call.service, at) > 0 || m_callersOfShortServices.contains(call.service))) {
+    if (outcome == CallOutcome::Answered
+        && (m_admissionControl.level(call.service, at) > 0 || (at < m_levelsUntilMs && m_callersOfShortServices.contains(call.service)))) {
         return false;
     }
     return m_retryBudget.tryTake(call.service, outcome != CallOutcome::Declined && m_directory.makesCalls(call.service), at, call.retryRank);
--- a/packages/meshnode/callbroker.h
+++ b/packages/meshnode/callbroker.h
@@ -220,6 +220,7 @@
     Directory m_directory;
     AdmissionControl m_admissionControl;
     RetryBudget m_retryBudget;
+    double m_levelsUntilMs = 0; ///< end of the validity of the last levels
     std::set<std::string> m_callersOfShortServices; ///< services that call others whose retry budget does not suffice
     TeamRateLimiter m_teamRateLimiter;
     std::unordered_map<std::uint64_t, CallPtr> m_calls;
--- a/tests/meshnode/retryranktest.cpp
+++ b/tests/meshnode/retryranktest.cpp
@@ -52,7 +52,7 @@
         if (declines && !isShort && policy != Policy::OnceAtEachUpstream) {
             isShort = true;
             for (RetryBudget &budget : budgets) {
-                budget.setExclusive({"deep"});
+                budget.setScarce({"deep"}, calmMs + shortageMs);
             }
         }
         RetryBudget &budget = budgets[random.below(nodes)];
@@ -101,6 +101,15 @@
     BOOST_TEST(byRank.wholeUrgent > 2 * untilTaken.wholeUrgent);
 }
 
+// Guards against a rank that counts after the levels of a lost leader have expired.
+BOOST_AUTO_TEST_CASE(shortageEndsWithoutALeader)
+{
+    RetryBudget budget(ratio, fixedRetries, windowMs);
+    budget.setScarce({"deep"}, 5'000);
+    BOOST_TEST(!budget.tryTake("deep", false, 4'000, 0.999)); // the first token only
+    BOOST_TEST(budget.tryTake("deep", false, 5'001, 0.999));
+}
+
 // Guards against a rank that withholds retries while there are enough of them.
 BOOST_AUTO_TEST_CASE(everyRankGetsRetriesInCalm)
 {
