Links: memory of the last large frame is released; bound of pipelined bytes

Cause of a part: since large frames are sent in pieces, each link kept the payload of the last one until the next (2 MB for each of its links), and no guard counted it. It is released after it was written. Besides, the pipeline of a port is bounded again by connections while the running requests hold 1 MiB, as bodies are copied several times.

--- a/packages/mesh/framelink.cpp
+++ b/packages/mesh/framelink.cpp
@@ -138,6 +138,7 @@
             onSent(piece.type, piece.frameBytes + pieces * (headerBytes + pieceHeaderBytes));
         }
     }
+    m_splitter.releasePiece();
 }
 
 void FrameLink::startCompressing()
--- a/packages/mesh/framepieces.cpp
+++ b/packages/mesh/framepieces.cpp
@@ -157,7 +157,7 @@
     m_budget = {};
     m_started.clear();
     m_waiting.clear();
-    m_lastPayload = {};
+    releasePiece();
     m_unsent = 0;
     m_heldBytes = 0;
 }
--- a/packages/mesh/framepieces.h
+++ b/packages/mesh/framepieces.h
@@ -70,6 +70,11 @@
     {
         return m_unsent;
     }
+    /// Releases the memory of the last piece, whose content is then no longer valid.
+    void releasePiece()
+    {
+        std::string().swap(m_lastPayload); // an assignment keeps the memory
+    }
     /// Returns the memory held for the queued frames.
     std::size_t heldBytes() const
     {
--- a/packages/net/httpport.cpp
+++ b/packages/net/httpport.cpp
@@ -13,6 +13,8 @@
 // Running requests of a port from which on each connection may have fewer. With fewer running, a limit by the number of connections
 // alone would make ordinary clients wait that pipeline a few requests each: idle connections are many.
 constexpr std::size_t maxPipelinedOfAll = 256;
+// The same for the memory of the running requests: bodies are copied several times on their way to an upstream.
+constexpr std::size_t maxPipelinedBytes = 1U << 20U;
 // Requests that one connection may begin in a turn of the loop, so that connections with many do not delay the others.
 constexpr int requestsPerTurn = 4;
 // With more unread response bytes, a client gets no response to further requests.
@@ -95,6 +97,7 @@
             const auto exchange = m_exchanges.front();
             m_exchanges.pop_front();
             --m_port.m_running;
+            m_port.m_runningBytes -= exchange->m_requestBytes;
             m_activeAt = now();
             // With later requests already read, only the last response of the connection says that it closes.
             const bool last = m_exchanges.empty() && (exchange->m_close || m_ending || m_port.m_closing);
@@ -321,6 +324,7 @@
         ++m_requestsOfTurn;
         exchange->m_request = m_reader.take();
         exchange->m_requestBytes = bytes;
+        m_port.m_runningBytes += bytes;
         m_ending = m_lastRequest || !exchange->m_request.keepAlive;
         m_port.m_handler(exchange);
     }
@@ -330,6 +334,9 @@
         m_stream->close();
         const auto exchanges = std::exchange(m_exchanges, {});
         m_port.m_running -= exchanges.size();
+        for (const auto &exchange : exchanges) {
+            m_port.m_runningBytes -= exchange->m_requestBytes;
+        }
         remove();
         for (const auto &exchange : exchanges) {
             if (!exchange->m_ready) {
@@ -464,7 +471,7 @@
 
 std::size_t HttpPort::pipelineDepth() const
 {
-    if (m_running < maxPipelinedOfAll) {
+    if (m_running < maxPipelinedOfAll && m_runningBytes < maxPipelinedBytes) {
         return maxPipelined;
     }
     return std::clamp<std::size_t>(maxPipelinedOfAll / std::max<std::size_t>(m_connections.size(), 1), 1, maxPipelined);
--- a/packages/net/httpport.h
+++ b/packages/net/httpport.h
@@ -134,6 +134,7 @@
     HttpReaderLimits m_limits;
     HttpPortTimes m_times;
     std::size_t m_running = 0; ///< requests without an answer, of all connections
+    std::size_t m_runningBytes = 0; ///< memory of m_running
     std::set<std::shared_ptr<HttpPortConnection>> m_connections;
     TimerId m_timer = 0;
     TimerId m_boundTimer = 0;
