Review: a kill during the first start leaves the group unfounded

One core process, the one with the lowest address, is killed 0.6 s after the first start and is back 0.5 s later. No host founds the group any more: the first desired state is never acknowledged and no request is served.

--- a/review/kit-2/cases.cpp
+++ b/review/kit-2/cases.cpp
@@ -61,14 +61,19 @@
     bool start(const std::string &state)
     {
         m_platform.start();
-        for (std::size_t i = 0; i < m_nodes.size(); ++i) {
-            m_servers.push_back(std::make_unique<Server>(m_record, m_runs, *m_nodes[i], m_plans[i]));
-        }
+        startServers();
         return m_platform.put(state, firstBase, startTimeoutS) && std::all_of(m_nodes.begin(), m_nodes.end(), [this](const Machine *machine) {
                    return m_platform.waitReady(*machine, startTimeoutS);
                });
     }
 
+    void startServers()
+    {
+        for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+            m_servers.push_back(std::make_unique<Server>(m_record, m_runs, *m_nodes[i], m_plans[i]));
+        }
+    }
+
     // Repeats a read until it is answered with 200, since a new node first has to learn of the servers.
     bool waitServed(const Machine &machine, const std::string &path)
     {
@@ -345,14 +350,55 @@
                 + " with the key that was taken away, " + std::to_string(runsOfUnknown) + " with a key that no desired state held");
     return runsOfRevoked + runsOfUnknown > 0 ? ruleBroken : ruleHeld;
 }
+
+// One core process is killed in the second after the first start, and is back half a second later with its disk.
+int firstStart(Record &record)
+{
+    constexpr int memoryMb = 260;
+    constexpr double leadS = 0.2; // all machines start within 0.3 s of each other, in any order
+    constexpr double killAtS = 0.6;
+    constexpr double operatorPatienceS = 45;
+    constexpr int tries = 10;
+    Deployment deployment(record);
+    const Machine &entry = deployment.add("stato", memoryMb, {});
+    deployment.add("comando", memoryMb, {});
+    Machine &killed = deployment.platform().firstCore();
+    const double startedAtS = elapsedS();
+    deployment.platform().start(&killed, leadS);
+    deployment.startServers();
+    if (isTroubled()) {
+        pause(startedAtS + killAtS - elapsedS());
+        deployment.platform().kill(killed);
+    }
+    const std::string state = renderState(firstVersion, {{"read", "safe", "stato", 5}}, {"comando", "stato"}, oneTenant('"' + key + '"'));
+    const bool isAcknowledged = deployment.platform().put(state, firstBase, operatorPatienceS);
+    record.line(std::string("case: the first desired state is ") + (isAcknowledged ? "acknowledged" : "not acknowledged"));
+    if (isAcknowledged) {
+        deployment.platform().waitReady(entry, startTimeoutS);
+    }
+    int served = 0;
+    for (int i = 0; i < tries; ++i) {
+        const std::string id = newId();
+        const Message answer = call(entry.callers(), "GET", "/read/1", requestFields(id, 5'000, key), {}, 6);
+        record.line("client: " + id + " gets " + answer.startLine);
+        served += answer.status() == 200 ? 1 : 0;
+        pause(0.5);
+    }
+    record.line("case: " + std::to_string(served) + " of " + std::to_string(tries) + " requests served; " + killed.name + " was started "
+                + std::to_string(killed.starts) + " times");
+    return served == 0 && !isAcknowledged ? ruleBroken : ruleHeld;
+}
 }
 
 int main(int count, char **arguments)
 {
-    const std::map<std::string, int (*)(Record &)> cases{{"uploads", uploads}, {"downloads", downloads}, {"last-tenant", lastTenant}};
+    const std::map<std::string, int (*)(Record &)> cases{{"uploads", uploads},
+                                                         {"downloads", downloads},
+                                                         {"last-tenant", lastTenant},
+                                                         {"first-start", firstStart}};
     const auto found = count == 3 ? cases.find(arguments[1]) : cases.end();
     if (found == cases.end()) {
-        std::fprintf(stderr, "usage: cases uploads|downloads|last-tenant RECORD\n");
+        std::fprintf(stderr, "usage: cases uploads|downloads|last-tenant|first-start RECORD\n");
         return couldNotRun;
     }
     Record record(arguments[2]);
--- a/review/kit-2/standins.cpp
+++ b/review/kit-2/standins.cpp
@@ -359,16 +359,44 @@
     }
 }
 
-void Platform::start()
+void Platform::start(Machine *first, double leadS)
 {
+    if (first) {
+        startProcess(*first, true);
+        pause(leadS);
+    }
     for (const auto &machine : m_machines) {
-        startProcess(*machine, true);
+        if (machine.get() != first) {
+            startProcess(*machine, true);
+        }
     }
     m_watcher = std::thread([this] {
         watch();
     });
 }
 
+void Platform::kill(Machine &machine)
+{
+    m_record.line("platform: kills " + machine.name);
+    machine.isToBeKilled = true;
+}
+
+Machine &Platform::firstCore()
+{
+    std::vector<Machine *> cores;
+    for (const auto &machine : m_machines) {
+        if (machine->isCore()) {
+            cores.push_back(machine.get());
+        }
+    }
+    if (cores.empty()) {
+        throw std::logic_error("no core machine");
+    }
+    return **std::min_element(cores.begin(), cores.end(), [](const Machine *a, const Machine *b) {
+        return a->ip < b->ip;
+    });
+}
+
 // Kills a process that uses more memory than its machine has, and restarts processes that ended.
 void Platform::watch()
 {
@@ -381,6 +409,9 @@
                 }
                 continue;
             }
+            if (machine->isToBeKilled.exchange(false)) {
+                ::kill(machine->pid, SIGKILL);
+            }
             const long peak = peakKib(machine->pid);
             if (peak > machine->memoryMb * kibPerMib) {
                 m_record.line("platform: " + machine->name + " used " + std::to_string(peak / kibPerMib) + " MiB of " + std::to_string(machine->memoryMb)
--- a/review/kit-2/standins.h
+++ b/review/kit-2/standins.h
@@ -93,6 +93,7 @@
     pid_t pid = -1;
     int starts = 0;
     std::atomic<int> memoryEnds = 0; ///< ends because of more memory than memoryMb
+    std::atomic<bool> isToBeKilled = false;
 
     bool isCore() const
     {
@@ -113,7 +114,12 @@
 
     /// Adds a machine to the deployment. Core machines have no service.
     Machine &add(const std::string &name, const std::string &zone, const std::string &service, int memoryMb);
-    void start();
+    /// Starts all processes, @p first the given time before the others.
+    void start(Machine *first = nullptr, double leadS = 0);
+    /// Kills a process with SIGKILL. It is started again after a short delay.
+    void kill(Machine &machine);
+    /// Returns the core machine whose address comes first.
+    Machine &firstCore();
     /// Sends a desired state in the way of an operator. Returns false if it was not acknowledged in time.
     bool put(const std::string &document, const std::string &baseVersion, double timeoutS);
     /// Waits until the status check of the node succeeds.
