Review: a drain is acknowledged and ignored after the clock was set back

A server starts while the clock of its machine is ahead, crashes and starts again under its id after the clock was set back. Its node ignores its pings and acknowledges them, draining too, so requests reach it later than drainS.

--- a/review/kit-2/cases.cpp
+++ b/review/kit-2/cases.cpp
@@ -48,7 +48,7 @@
         }
     }
 
-    Machine &add(const std::string &service, int memoryMb, Server::Plan plan)
+    Machine &add(const std::string &service, int memoryMb, const Server::Plan &plan)
     {
         const std::string &zone = zones[m_nodes.size() % zones.size()];
         Machine &machine = m_platform.add("sidecar-" + std::to_string(m_nodes.size()) + '-' + service, zone, service, memoryMb);
@@ -69,11 +69,31 @@
 
     void startServers()
     {
+        m_servers.resize(m_nodes.size());
         for (std::size_t i = 0; i < m_nodes.size(); ++i) {
-            m_servers.push_back(std::make_unique<Server>(m_record, m_runs, *m_nodes[i], m_plans[i]));
+            if (!m_plans[i].startsLater) {
+                startServer(i, 0);
+            }
         }
     }
 
+    // Starts the server of a machine, under its id if it ran before.
+    Server &startServer(std::size_t index, int clockAheadMs)
+    {
+        Server::Plan &plan = m_plans.at(index);
+        plan.clockAheadMs = clockAheadMs;
+        m_servers.at(index) = std::make_unique<Server>(m_record, m_runs, *m_nodes.at(index), plan);
+        plan.id = m_servers.at(index)->id();
+        m_record.line("server " + plan.id + ": starts with a clock that is " + std::to_string(clockAheadMs) + " ms ahead");
+        return *m_servers.at(index);
+    }
+
+    void crashServer(std::size_t index)
+    {
+        m_record.line("server " + m_plans.at(index).id + ": crashes");
+        m_servers.at(index).reset();
+    }
+
     // Repeats a read until it is answered with 200, since a new node first has to learn of the servers.
     bool waitServed(const Machine &machine, const std::string &path)
     {
@@ -388,6 +408,59 @@
                 + std::to_string(killed.starts) + " times");
     return served == 0 && !isAcknowledged ? ruleBroken : ruleHeld;
 }
+
+// A server starts while the clock of its machine is ahead, crashes after the clock was set back, starts again, and leaves later.
+int clockSetBack(Record &record)
+{
+    constexpr int memoryMb = 260;
+    constexpr int clockAheadMs = 2'400;
+    constexpr double servingS = 0.5;
+    constexpr double downS = 0.3;
+    constexpr double contactS = 3;
+    constexpr double drainS = 2;
+    constexpr double servesOnS = 6;
+    constexpr std::size_t leaving = 2;
+    Deployment deployment(record);
+    Machine *const entries[] = {&deployment.add("stato", memoryMb, {}), &deployment.add("comando", memoryMb, {})};
+    deployment.add("comando", memoryMb, {.startsLater = true});
+    const std::string state = renderState(firstVersion, {{"read", "safe", "comando", 5}}, {"comando", "stato"}, oneTenant('"' + key + '"'));
+    if (!deployment.start(state)) {
+        return couldNotRun;
+    }
+    deployment.startServer(leaving, isTroubled() ? clockAheadMs : 0);
+    pause(servingS);
+    deployment.crashServer(leaving);
+    pause(downS);
+    Server &server = deployment.startServer(leaving, 0);
+    std::atomic<bool> isStopping = false;
+    std::vector<std::thread> clients;
+    for (const Machine *entry : entries) {
+        clients.emplace_back([&, entry] {
+            while (!isStopping) {
+                const std::string id = newId();
+                const Message answer = call(entry->callers(), "GET", "/read/1", requestFields(id, 5'000, key), {}, 6);
+                record.line("client of " + entry->name + ": " + id + " gets " + answer.startLine);
+                pause(0.05);
+            }
+        });
+    }
+    pause(contactS + 2);
+    const int before = deployment.runs().countAfter(server.id(), 0);
+    const bool isAcknowledged = server.drain();
+    const double acknowledgedAtS = elapsedS();
+    pause(servesOnS);
+    const int late = deployment.runs().countAfter(server.id(), acknowledgedAtS + drainS);
+    isStopping = true;
+    for (std::thread &client : clients) {
+        client.join();
+    }
+    record.line("case: " + std::to_string(before) + " requests at " + server.id() + " before its drain was acknowledged, " + std::to_string(late)
+                + " later than drainS after it");
+    if (!isAcknowledged || before == 0) {
+        return couldNotRun;
+    }
+    return late > 0 ? ruleBroken : ruleHeld;
+}
 }
 
 int main(int count, char **arguments)
@@ -395,10 +468,11 @@
     const std::map<std::string, int (*)(Record &)> cases{{"uploads", uploads},
                                                          {"downloads", downloads},
                                                          {"last-tenant", lastTenant},
-                                                         {"first-start", firstStart}};
+                                                         {"first-start", firstStart},
+                                                         {"clock-set-back", clockSetBack}};
     const auto found = count == 3 ? cases.find(arguments[1]) : cases.end();
     if (found == cases.end()) {
-        std::fprintf(stderr, "usage: cases uploads|downloads|last-tenant|first-start RECORD\n");
+        std::fprintf(stderr, "usage: cases uploads|downloads|last-tenant|first-start|clock-set-back RECORD\n");
         return couldNotRun;
     }
     Record record(arguments[2]);
--- a/review/kit-2/standins.cpp
+++ b/review/kit-2/standins.cpp
@@ -479,9 +479,18 @@
 void Runs::add(const Run &run)
 {
     const std::lock_guard lock(m_mutex);
+    m_runs.push_back(run);
     ++m_counts[run.id];
 }
 
+int Runs::countAfter(const std::string &server, double atS)
+{
+    const std::lock_guard lock(m_mutex);
+    return static_cast<int>(std::count_if(m_runs.begin(), m_runs.end(), [&](const Run &run) {
+        return run.server == server && run.atS > atS;
+    }));
+}
+
 int Runs::count(const std::string &id)
 {
     const std::lock_guard lock(m_mutex);
@@ -493,9 +502,9 @@
     : m_record(record)
     , m_runs(runs)
     , m_machine(machine)
-    , m_plan(plan)
-    , m_id("i-" + newId().substr(0, 8))
-    , m_born(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count())
+    , m_plan(std::move(plan))
+    , m_id(m_plan.id.empty() ? "i-" + newId().substr(0, 8) : m_plan.id)
+    , m_born(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count() + m_plan.clockAheadMs)
     , m_listener(listenOn(at(machine.ip, serverPort)))
 {
     m_threads.emplace_back([this] {
@@ -579,28 +588,35 @@
             std::string(m_plan.answerBytes, 'a')};
 }
 
+bool Server::ping()
+{
+    const std::lock_guard lock(m_pingMutex);
+    const std::string state = m_draining ? "draining" : "ready";
+    const std::string body = R"({"address":")" + at(m_machine.ip, serverPort) + R"(","born":)" + std::to_string(m_born) + R"(,"info":{"service":")"
+        + m_machine.service + R"(","version":"v1","zone":")" + m_machine.zone + R"(","slots":)" + std::to_string(slots) + R"(},"status":{"state":")" + state
+        + R"(","sequence":)" + std::to_string(++m_sequence) + R"(,"coldRemainingS":0}})";
+    const Fields fields{{"Host", "control"}, {"Content-Type", "application/json"}};
+    return call(m_machine.announcements(), "POST", "/Instances.Heartbeat/" + m_id, fields, body, announceTimeoutS).status() == 200;
+}
+
 void Server::announce()
 {
-    int sequence = 0;
     while (!m_stopping) {
-        const std::string body = R"({"address":")" + at(m_machine.ip, serverPort) + R"(","born":)" + std::to_string(m_born) + R"(,"info":{"service":")"
-            + m_machine.service + R"(","version":"v1","zone":")" + m_machine.zone + R"(","slots":)" + std::to_string(slots)
-            + R"(},"status":{"state":"ready","sequence":)" + std::to_string(++sequence) + R"(,"coldRemainingS":0}})";
-        const bool taken = call(m_machine.announcements(),
-                                "POST",
-                                "/Instances.Heartbeat/" + m_id,
-                                {{"Host", "control"}, {"Content-Type", "application/json"}},
-                                body,
-                                announceTimeoutS)
-                               .status()
-            == 200;
-        const double untilS = elapsedS() + (taken ? announcePeriodS : 0.2);
+        const double untilS = elapsedS() + (ping() ? announcePeriodS : 0.2);
         while (!m_stopping && elapsedS() < untilS) {
             pause(0.05);
         }
     }
 }
 
+bool Server::drain()
+{
+    m_draining = true;
+    const bool isAcknowledged = ping();
+    m_record.line("server " + m_id + " of " + m_machine.name + ": says that it is draining, " + (isAcknowledged ? "acknowledged" : "not acknowledged"));
+    return isAcknowledged;
+}
+
 std::string renderState(const std::string &version, const std::vector<Route> &routes, const std::vector<std::string> &services, const std::string &tenants)
 {
     std::string text = R"({"version":")" + version + R"(","routes":[)";
--- a/review/kit-2/standins.h
+++ b/review/kit-2/standins.h
@@ -152,9 +152,12 @@
 public:
     void add(const Run &run);
     int count(const std::string &id);
+    /// Returns the number of runs at a server that began later than @p atS.
+    int countAfter(const std::string &server, double atS);
 
 private:
     std::mutex m_mutex;
+    std::vector<Run> m_runs;
     std::map<std::string, int> m_counts;
 };
 
@@ -165,6 +168,9 @@
     struct Plan {
         double workS = 0.05;
         std::size_t answerBytes = 100;
+        std::string id = {}; ///< a new one if empty
+        int clockAheadMs = 0; ///< of the machine's time of day at the start
+        bool startsLater = false;
     };
 
     Server(Record &record, Runs &runs, const Machine &machine, Plan plan);
@@ -172,7 +178,15 @@
     Server(const Server &) = delete;
     Server &operator=(const Server &) = delete;
 
+    const std::string &id() const
+    {
+        return m_id;
+    }
+    /// Announces that the server leaves. Returns true if that was acknowledged; the server serves on.
+    bool drain();
+
 private:
+    bool ping();
     void accept();
     void serve(const std::shared_ptr<Connection> &connection);
     Message answerTo(const Message &request);
@@ -186,7 +200,10 @@
     long long m_born;
     int m_listener = -1;
     std::atomic<bool> m_stopping = false;
+    std::atomic<bool> m_draining = false;
     std::atomic<int> m_running = 0;
+    std::mutex m_pingMutex;
+    int m_sequence = 0;
     std::vector<std::thread> m_threads;
     std::mutex m_mutex;
     std::vector<std::pair<std::thread, std::weak_ptr<Connection>>> m_connections;
