--- a/review/kit-2/cases.cpp
+++ b/review/kit-2/cases.cpp
@@ -419,9 +419,13 @@
     constexpr double contactS = 3;
     constexpr double drainS = 2;
     constexpr double servesOnS = 6;
-    constexpr std::size_t leaving = 2;
+    constexpr std::size_t otherServers = 8; // so that one server is less than a share of 0.14 of its service
+    constexpr std::size_t leaving = otherServers + 1; // in the zone of the first entry
     Deployment deployment(record);
-    Machine *const entries[] = {&deployment.add("stato", memoryMb, {}), &deployment.add("comando", memoryMb, {})};
+    const Machine *const entry = &deployment.add("stato", memoryMb, {});
+    for (std::size_t i = 0; i < otherServers; ++i) {
+        deployment.add("comando", memoryMb, {});
+    }
     deployment.add("comando", memoryMb, {.startsLater = true});
     const std::string state = renderState(firstVersion, {{"read", "safe", "comando", 5}}, {"comando", "stato"}, oneTenant('"' + key + '"'));
     if (!deployment.start(state)) {
@@ -433,9 +437,11 @@
     pause(downS);
     Server &server = deployment.startServer(leaving, 0);
     std::atomic<bool> isStopping = false;
+    constexpr std::size_t clientCount = 2;
     std::vector<std::thread> clients;
-    for (const Machine *entry : entries) {
-        clients.emplace_back([&, entry] {
+    clients.reserve(clientCount);
+    for (std::size_t i = 0; i < clientCount; ++i) {
+        clients.emplace_back([&] {
             while (!isStopping) {
                 const std::string id = newId();
                 const Message answer = call(entry->callers(), "GET", "/read/1", requestFields(id, 5'000, key), {}, 6);
