HttpReader: a response has a status line by the grammar

What callers saw: a server in trouble sent "HTTP/1.1 000 ...", and the client got "HTTP/1.1 0 ..." with the server's fields and body as an answer. The same with 001, 099, 600 and 999, with one, two, four or five digits (0200 was read as 200, also as a sign of health), with HTTP/2.0 and HTTP/0.9, with control bytes in the reason, and with a byte that was lost behind a carriage return. The connection was used again.

Cause: http_parser reads any digits up to 999 in the place of the status code, any two digits in the place of the version, and takes the byte behind a carriage return for the line feed. Nothing else looked at the status line.

Change: ResponseSyntax checks the status line of RFC 9112 4 before the parser gets it: HTTP/1.x, three digits of which the first is 1 to 5 (RFC 9110 15), and a reason without control bytes. Whatever a reader may accept (several blanks, no reason, a line feed alone) is accepted as before. The check is in HttpReader, which reads the responses of upstreams on both ways of a request, of health checks and of other processes.

The client of a request that may not be repeated gets 502 without the server's fields, the server sees the request once, and other clients are served meanwhile.

Why it works: a response that is not read as one has no status, fields or body that could be passed on; its call ends as one that may have run, and its connection is closed.

--- a/packages/net/httpreader.cpp
+++ b/packages/net/httpreader.cpp
@@ -259,6 +259,7 @@
     m_framingBytes = 0;
     m_headerComplete = false;
     m_inValue = false;
+    m_syntax = ResponseSyntax();
 }
 
 void HttpReader::reserveBody(std::size_t moreBytes)
@@ -281,7 +282,8 @@
 std::size_t HttpReader::heldBytes() const
 {
     const std::string &body = m_message.body;
-    return 2 * m_headerBytes + m_message.fields.capacity() * sizeof(HttpMessage::Field) + std::min(body.capacity(), body.size() + maxUsedSpareBytes);
+    return 2 * m_headerBytes + m_syntax.heldBytes() + m_message.fields.capacity() * sizeof(HttpMessage::Field)
+        + std::min(body.capacity(), body.size() + maxUsedSpareBytes);
 }
 
 // In the values of framing fields the parser takes blanks for blanks, but not tabs, so it is given blanks instead.
@@ -300,6 +302,17 @@
     return used;
 }
 
+// Gives the parser no bytes that it would accept against the syntax of a response.
+std::size_t HttpReader::executeResponse(std::string_view data)
+{
+    const std::size_t checked = m_syntax.check(data);
+    if (m_syntax.isBroken()) {
+        m_state = State::Malformed;
+        return 0;
+    }
+    return execute(data.substr(0, checked));
+}
+
 std::size_t HttpReader::read(std::string_view data)
 {
     if (data.empty() || (m_state != State::Idle && m_state != State::Reading)) {
@@ -316,7 +329,7 @@
     m_bodyProgressed = false;
     const std::size_t bodyBytes = m_message.body.size();
     const bool behindHeader = m_headerComplete;
-    const std::size_t used = execute(data);
+    const std::size_t used = m_kind == Kind::Request ? execute(data) : executeResponse(data);
     if (!m_headerComplete) {
         m_headerBytes += used;
     }
@@ -350,7 +363,7 @@
 
 std::string_view HttpReader::defect() const
 {
-    return http_errno_description(HTTP_PARSER_ERRNO(&m_parser));
+    return m_syntax.isBroken() ? m_syntax.defect() : http_errno_description(HTTP_PARSER_ERRNO(&m_parser));
 }
 
 HttpMessage HttpReader::take()
--- a/packages/net/httpreader.h
+++ b/packages/net/httpreader.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "responsesyntax.h"
+
 #include <cstdint>
 #include <http_parser.h>
 #include <memory>
@@ -76,7 +78,7 @@
     {
         return m_message;
     }
-    /// Returns the parser's description of the defect of a malformed message.
+    /// Returns a description of the defect of a malformed message.
     std::string_view defect() const;
     /// Returns the complete message and starts over.
     HttpMessage take();
@@ -101,10 +103,12 @@
     void restart();
     void reserveBody(std::size_t moreBytes);
     std::size_t execute(std::string_view data);
+    std::size_t executeResponse(std::string_view data);
 
     Kind m_kind;
     HttpReaderLimits m_limits;
     http_parser m_parser{};
+    ResponseSyntax m_syntax; ///< of a response
     HttpMessage m_message;
     State m_state = State::Idle;
     std::size_t m_headerBytes = 0;
--- /dev/null
+++ b/packages/net/responsesyntax.cpp
@@ -0,0 +1,100 @@
+#include "responsesyntax.h"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace Yuccagrade
+{
+namespace
+{
+constexpr std::string_view lineEnd = "\r\n";
+constexpr std::size_t statusDigits = 3;
+// Kept of a broken line.
+constexpr std::size_t maxShownBytes = 128;
+
+bool isDigit(char c)
+{
+    return std::isdigit(static_cast<unsigned char>(c)) != 0;
+}
+
+bool isControl(char c)
+{
+    return c != '\t' && std::iscntrl(static_cast<unsigned char>(c)) != 0;
+}
+
+bool hasControl(std::string_view text)
+{
+    return std::any_of(text.begin(), text.end(), isControl);
+}
+
+// A response of a later minor version is read as one of HTTP/1.1 (RFC 9110 2.5). The classes of status codes are 1 to 5 (RFC 9110 15). A
+// reader may accept several blanks, and no blank in the place of an empty reason (RFC 9112 4).
+bool isStatusLine(std::string_view line)
+{
+    constexpr std::string_view majorVersion = "HTTP/1.";
+    if (!line.starts_with(majorVersion) || line.size() <= majorVersion.size() || !isDigit(line[majorVersion.size()])) {
+        return false;
+    }
+    line.remove_prefix(majorVersion.size() + 1);
+    const std::size_t blankCount = std::min(line.find_first_not_of(' '), line.size());
+    line.remove_prefix(blankCount);
+    const std::string_view code = line.substr(0, statusDigits);
+    const std::string_view reason = line.substr(code.size());
+    return blankCount > 0 && code.size() == statusDigits && std::all_of(code.begin(), code.end(), isDigit) && code.front() >= '1' && code.front() <= '5'
+        && (reason.empty() || reason.front() == ' ') && !hasControl(reason);
+}
+}
+
+std::size_t ResponseSyntax::check(std::string_view data)
+{
+    std::size_t used = 0;
+    while (used < data.size() && !isBroken()) {
+        used += m_part == Part::StatusLine ? checkLine(data.substr(used)) : data.size() - used;
+    }
+    return used;
+}
+
+// Checks the line that begins or continues with the data once it is whole.
+std::size_t ResponseSyntax::checkLine(std::string_view data)
+{
+    const std::size_t end = data.find('\n');
+    if (end == std::string_view::npos) {
+        const std::size_t unsearched = std::max<std::size_t>(m_line.size(), 1) - 1;
+        m_line.append(data);
+        // The parser takes any byte behind a carriage return for the line feed, and so for the end of the line.
+        if (m_line.find('\r', unsearched) < m_line.size() - 1) {
+            setBroken("carriage return within a line", std::exchange(m_line, {}));
+        }
+        return data.size();
+    }
+    const std::string_view piece = data.substr(0, end + 1);
+    if (m_line.empty()) {
+        checkWholeLine(piece);
+    } else {
+        m_line.append(piece);
+        checkWholeLine(std::exchange(m_line, {}));
+    }
+    return piece.size();
+}
+
+// A single line feed may end a status line (RFC 9112 2.2).
+void ResponseSyntax::checkWholeLine(std::string_view line)
+{
+    const std::string_view text = line.substr(0, line.size() - (line.ends_with(lineEnd) ? lineEnd.size() : 1));
+    // http_parser skips empty lines before a response.
+    if (text.empty()) {
+        return;
+    }
+    m_part = Part::Rest;
+    if (!isStatusLine(text)) {
+        setBroken("invalid status line", text);
+    }
+}
+
+void ResponseSyntax::setBroken(std::string_view defect, std::string_view line)
+{
+    m_defect = defect;
+    m_line = line.substr(0, maxShownBytes);
+}
+}
--- a/tests/net/faultyservertest.cpp
+++ b/tests/net/faultyservertest.cpp
@@ -1,5 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
+#include "../support/brokenresponses.h"
 #include "base/errc.h"
 #include "net/httpclient.h"
 
@@ -13,6 +14,7 @@
 #include <limits>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 using namespace Yuccagrade;
@@ -275,6 +277,41 @@
     }
 }
 
+// Guards against broken responses that callers of HttpClient take for responses, and against a connection that is used again behind one.
+BOOST_AUTO_TEST_CASE(brokenResponsesAreErrors)
+{
+    EventLoop loop;
+    HttpClient client(loop);
+    ScriptedServer sound(loop, [](int connection, const std::string &) {
+        ScriptedServer::write(connection, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    });
+    for (const Test::BrokenResponse &response : Test::brokenResponses("X-A: b\r\n")) {
+        for (const bool closes : {false, true}) {
+            ScriptedServer server(loop, [&](int connection, const std::string &) {
+                ScriptedServer::write(connection, response.bytes);
+                if (closes) {
+                    server.end(connection);
+                }
+            });
+            std::optional<HttpResult> ended;
+            client.send(get(server), [&](HttpResult result) {
+                ended = std::move(result);
+            });
+            const HttpResult other = callOnce(loop, client, get(sound));
+            BOOST_TEST(!other.error);
+            BOOST_TEST(other.response.body == "ok");
+            while (!ended) {
+                wait(loop, 1);
+            }
+            BOOST_TEST(static_cast<bool>(ended->error), response.name << ": status " << ended->response.status << ", body " << ended->response.body);
+            BOOST_TEST((ended->error != Errc::Timeout), response.name);
+            BOOST_TEST(ended->bytesSent, response.name);
+            BOOST_TEST(waitUntilClosed(loop, server), response.name);
+            BOOST_TEST(server.accepted() == 1, response.name);
+        }
+    }
+}
+
 // Guards against a server that keeps a call, its connection or memory by bytes without end.
 BOOST_AUTO_TEST_CASE(endlessAnswerIsEndedAndOthersAreServed)
 {
--- a/tests/node/ingresstest.cpp
+++ b/tests/node/ingresstest.cpp
@@ -1,6 +1,8 @@
 #include <boost/test/unit_test.hpp>
 
+#include "../support/brokenresponses.h"
 #include "net/httpserver.h"
+#include "net/tcp.h"
 #include "node/headers.h"
 #include "node/ingresshandler.h"
 
@@ -237,3 +239,69 @@
     BOOST_TEST(response.status == 503);
     BOOST_TEST(response.header(Headers::outcome) == "not-run");
 }
+
+// Guards against a caller that gets a broken response of an upstream as an answer, hears that its request has not run, or has its action
+// offered twice.
+BOOST_AUTO_TEST_CASE(brokenResponsesReachNoCaller)
+{
+    EventLoop loop;
+    ControlHost control(loop);
+    std::string broken;
+    bool closes = false;
+    int runs = 0;
+    std::vector<std::shared_ptr<TcpStream>> connections;
+    TcpListener upstream(loop, [&](std::shared_ptr<TcpStream> stream) {
+        stream->onData = [&, raw = stream.get()](std::string_view data) {
+            const bool breaks = data.find("broken") != std::string_view::npos;
+            runs += breaks ? 1 : 0;
+            raw->write(breaks ? broken : "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nsound");
+            if (breaks && closes) {
+                raw->closeAfterWrites();
+            }
+        };
+        connections.push_back(std::move(stream));
+    });
+    BOOST_REQUIRE(!upstream.listen("127.0.0.1:0"));
+    Node node(loop, control.address());
+    node.announce(upstream.address());
+    runUntil(loop, [&] {
+        return node.isReady();
+    });
+    HttpClient client(loop);
+    const std::vector<Test::BrokenResponse> responses = Test::brokenResponses("X-Upstream: 1\r\n");
+    // All of them are read by HttpClient in the test of that class.
+    constexpr std::size_t step = 7;
+    for (std::size_t i = 0; i < responses.size(); i += step) {
+        broken = responses[i].bytes;
+        for (const auto &[method, path, mayRepeat] : {std::tuple{"POST", "/order", false}, {"GET", "/open", true}}) {
+            for (const bool close : {false, true}) {
+                closes = close;
+                runs = 0;
+                std::optional<HttpResult> other;
+                client.send({"GET", node.callerAddress(), "/open", {}, {}, testBoundMs, false}, [&](HttpResult result) {
+                    other = std::move(result);
+                });
+                const HttpResponse answer = callNode(loop, client, node, method, path + std::string("?broken"));
+                const std::string name = std::string(method) + ", " + responses[i].name + ": status " + std::to_string(answer.status) + ", " + answer.body;
+                // If the request is repeated, no second upstream is there for it.
+                BOOST_TEST((answer.status == 502 || (mayRepeat && answer.status == 503)), name);
+                BOOST_TEST(answer.header(Headers::outcome) == "may-have-run", name);
+                BOOST_TEST(answer.header("content-type") == "application/problem+json", name);
+                BOOST_TEST(answer.header("x-upstream").empty(), name);
+                BOOST_TEST(answer.body.find(Test::brokenBody + '"') == std::string::npos, name);
+                BOOST_TEST(runs == 1, name);
+                runUntil(loop, [&] {
+                    return other.has_value();
+                });
+                BOOST_TEST(!other->error);
+                BOOST_TEST(other->response.status == 200);
+                BOOST_TEST(other->response.body == "sound");
+                // A node that sees more failures in a short time refuses requests at its entry.
+                const TimeMs pauseEnd = loop.clock().now() + 60;
+                runUntil(loop, [&] {
+                    return loop.clock().now() >= pauseEnd;
+                });
+            }
+        }
+    }
+}
