HttpReader: no line of a response's head begins with a blank

What callers saw: a server sent a field line with a blank or a tab before its name. The client got a 200 in which that line stood at the end of the field before: "X-Yuccagrade-Server-Signature: 3e1b.07.5a2 X-Y: 1". With the line " Content-Length: 5" the client waited until 504, or got a body by the end of the connection.

Cause: http_parser takes such a line for a folded value and joins it with the one before, so that neither the name nor a line break is left for the check of names and values.

Change: ResponseSyntax checks each line of the head before the parser gets it: the name is a token directly before the colon, the value holds no carriage return and no NUL. RFC 9112 5.2 lets a gateway refuse a folded response, which no sender may make.

Other names with blanks and control bytes within the head were refused before already; they are in the same test.

Why it works: the line is seen as it was sent, and the response is refused before the parser can join it.

--- a/packages/net/httpreader.cpp
+++ b/packages/net/httpreader.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cctype>
 #include <limits>
 #include <new>
 #include <strings.h>
@@ -33,15 +32,6 @@
     return *static_cast<HttpReader *>(parser->data);
 }
 
-// The parser accepts blanks in names, which other readers take for the end of the name.
-bool isToken(std::string_view name)
-{
-    constexpr std::string_view punctuation = "!#$%&'*+-.^_`|~";
-    return !name.empty() && std::all_of(name.begin(), name.end(), [punctuation](unsigned char c) {
-        return std::isalnum(c) || punctuation.find(static_cast<char>(c)) != std::string_view::npos;
-    });
-}
-
 // The parser removes blanks before a value only.
 void removeTrailingBlanks(std::string &value)
 {
@@ -141,6 +131,7 @@
         HttpMessage &message = reader.m_message;
         for (auto &[name, value] : message.fields) {
             removeTrailingBlanks(value);
+            // The parser accepts blanks in names, which other readers take for the end of the name.
             if (!isToken(name) || !isCleanValue(value)) {
                 return -1;
             }
--- a/packages/net/responsesyntax.cpp
+++ b/packages/net/responsesyntax.cpp
@@ -44,13 +44,33 @@
     return blankCount > 0 && code.size() == statusDigits && std::all_of(code.begin(), code.end(), isDigit) && code.front() >= '1' && code.front() <= '5'
         && (reason.empty() || reason.front() == ' ') && !hasControl(reason);
 }
+
+bool isFieldValue(std::string_view value)
+{
+    return value.find('\r') == std::string_view::npos && value.find('\0') == std::string_view::npos;
+}
+
+// A folded line begins with a blank, as does a name with one in front. A gateway may refuse responses with either (RFC 9112 5.2).
+bool isFieldLine(std::string_view line)
+{
+    const std::size_t colon = line.find(':');
+    return colon != std::string_view::npos && isToken(line.substr(0, colon)) && isFieldValue(line.substr(colon));
+}
+}
+
+bool isToken(std::string_view name)
+{
+    constexpr std::string_view punctuation = "!#$%&'*+-.^_`|~";
+    return !name.empty() && std::all_of(name.begin(), name.end(), [punctuation](unsigned char c) {
+        return std::isalnum(c) || punctuation.find(static_cast<char>(c)) != std::string_view::npos;
+    });
 }
 
 std::size_t ResponseSyntax::check(std::string_view data)
 {
     std::size_t used = 0;
     while (used < data.size() && !isBroken()) {
-        used += m_part == Part::StatusLine ? checkLine(data.substr(used)) : data.size() - used;
+        used += m_part == Part::Body ? data.size() - used : checkLine(data.substr(used));
     }
     return used;
 }
@@ -78,17 +98,23 @@
     return piece.size();
 }
 
-// A single line feed may end a status line (RFC 9112 2.2).
+// A single line feed may end a line of the head (RFC 9112 2.2).
 void ResponseSyntax::checkWholeLine(std::string_view line)
 {
     const std::string_view text = line.substr(0, line.size() - (line.ends_with(lineEnd) ? lineEnd.size() : 1));
-    // http_parser skips empty lines before a response.
-    if (text.empty()) {
-        return;
-    }
-    m_part = Part::Rest;
-    if (!isStatusLine(text)) {
-        setBroken("invalid status line", text);
+    if (m_part == Part::StatusLine) {
+        // http_parser skips empty lines before a response.
+        if (text.empty()) {
+            return;
+        }
+        m_part = Part::FieldLine;
+        if (!isStatusLine(text)) {
+            setBroken("invalid status line", text);
+        }
+    } else if (text.empty()) {
+        m_part = Part::Body;
+    } else if (!isFieldLine(text)) {
+        setBroken("invalid field line", text);
     }
 }
 
--- a/packages/net/responsesyntax.h
+++ b/packages/net/responsesyntax.h
@@ -6,8 +6,11 @@
 
 namespace Yuccagrade
 {
-/// Checks the status line of an HTTP/1.1 response by the grammar of RFC 9112. http_parser accepts more, such as any number as a status
-/// code.
+/// Returns true if @p name is a token, as the names of fields are (RFC 9110 5.6.2).
+bool isToken(std::string_view name);
+
+/// Checks the head of an HTTP/1.1 response by the grammar of RFC 9112. http_parser accepts more, such as any number as a status code and
+/// folded fields.
 class ResponseSyntax
 {
 public:
@@ -35,7 +38,7 @@
     }
 
 private:
-    enum class Part { StatusLine, Rest };
+    enum class Part { StatusLine, FieldLine, Body };
 
     std::size_t checkLine(std::string_view data);
     void checkWholeLine(std::string_view line);
--- a/tests/platform/brokenanswertest.cpp
+++ b/tests/platform/brokenanswertest.cpp
@@ -295,3 +295,9 @@
 {
     checkAll(Test::brokenStatusLines);
 }
+
+// Guards against an answer at a client that has a blank or a control byte in the name of a field, or a body by such a field.
+BOOST_AUTO_TEST_CASE(brokenFieldLineReachesNoClient)
+{
+    checkAll(Test::brokenFieldLines);
+}
--- a/tests/support/brokenresponses.h
+++ b/tests/support/brokenresponses.h
@@ -53,9 +53,42 @@
     return responses;
 }
 
+/// Returns responses with a broken field line. @p fields are further field lines of each response.
+inline std::vector<BrokenResponse> brokenFieldLines(const std::string &fields)
+{
+    using namespace std::string_literals;
+    std::vector<BrokenResponse> responses;
+    const auto add = [&responses, &fields](const std::string &line, const std::string &framing, const std::string &body) {
+        responses.push_back({"field line " + line, "HTTP/1.1 200 OK\r\n" + fields + line + "\r\n" + framing + "\r\n" + body});
+    };
+    // A name is a token, and no blank stands before or behind it (RFC 9110 5.1, RFC 9112 5.1).
+    for (const std::string &line :
+         {"X Y: 1"s,  "X-Y : 1"s,   "X-Y\t: 1"s,       "X\tY: 1"s,      " X-Y: 1"s,       "\tX-Y: 1"s,     "X\x01Y: 1"s, "\x01X-Y: 1"s, "X-Y\x01: 1"s,
+          "X\0Y: 1"s, "X\x0bY: 1"s, "X\x1bY: 1"s,      "X\x7fY: 1"s,    "X\x80Y: 1"s,     "X\xc3\xa4: 1"s, ": 1"s,       " : 1"s,       "X(Y): 1"s,
+          "X\"Y: 1"s, "X/Y: 1"s,    "X@Y: 1"s,         "X[Y]: 1"s,      "X{Y}: 1"s,       "X,Y: 1"s,       "X;Y: 1"s,    "X=Y: 1"s,     "no colon"s,
+          "X-Y"s,     "X\rY: 1"s,   "X-Y: 1\rX-Z: 2"s, "X-Y: 1\r\n 2"s, "X-Y: 1\r\n\t2"s, "X-Y: a\0b"s}) {
+        add(line, "Content-Length: 5\r\n", brokenBody);
+    }
+    for (const std::string &line :
+         {"Content-Length : 5"s, "Content-Length\t: 5"s, " Content-Length: 5"s, "Content Length: 5"s, "Content-Length\x01: 5"s, "Content-Length\0: 5"s}) {
+        add(line, {}, brokenBody);
+    }
+    for (const std::string &line : {"Transfer-Encoding : chunked"s,
+                                    "Transfer-Encoding\t: chunked"s,
+                                    " Transfer-Encoding: chunked"s,
+                                    "Transfer Encoding: chunked"s,
+                                    "Transfer-Encoding\x01: chunked"s}) {
+        add(line, {}, "5\r\n" + brokenBody + "\r\n0\r\n\r\n");
+    }
+    return responses;
+}
+
 /// Returns the broken responses of all kinds.
 inline std::vector<BrokenResponse> brokenResponses(const std::string &fields)
 {
-    return brokenStatusLines(fields);
+    std::vector<BrokenResponse> responses = brokenStatusLines(fields);
+    const std::vector<BrokenResponse> fieldLines = brokenFieldLines(fields);
+    responses.insert(responses.end(), fieldLines.begin(), fieldLines.end());
+    return responses;
 }
 }
