HttpReader: no transfer coding but chunked frames a response

What callers saw: a server sent "Transfer-Encoding: gzip, chunked", and the client got 200 with the coded bytes as the body and without the field that named the coding. The same with two fields, with "identity, chunked" and from HTTP/1.0, and with codings that the parser does not know, if the connection ended behind them. If it stayed open, the client waited until 504.

Cause: http_parser removes the chunks where chunked is the last coding, and reads until the end of the connection otherwise. The codings before were dropped with the field, since it concerns one connection only.

Change: a response with a body has no Transfer-Encoding or exactly "chunked", in HTTP/1.1. No request of the system names another coding that is accepted, and a length in HTTP/1.0 beside that field is faulty (RFC 9112 6.1, 6.3, 7.4).

Why it works: the codings are compared once the head is read, and before the parser gives out any byte of the body.

--- a/packages/net/httpreader.cpp
+++ b/packages/net/httpreader.cpp
@@ -24,6 +24,7 @@
 constexpr std::size_t maxUsedSpareBytes = 128U << 10U;
 // Short fields of a complete header lie in an array that has grown to up to twice its content.
 constexpr std::size_t minShrunkFields = 64;
+constexpr std::string_view transferEncoding = "Transfer-Encoding";
 constexpr std::array<std::string_view, 8>
     connectionFields{"connection", "keep-alive", "proxy-connection", "te", "trailer", "upgrade", "transfer-encoding", "content-length"};
 
@@ -52,6 +53,19 @@
     return equalFieldNames(name, "Content-Length") || equalFieldNames(name, "Transfer-Encoding") || equalFieldNames(name, "Connection");
 }
 
+bool isTransferEncoding(const HttpMessage::Field &field)
+{
+    return equalFieldNames(field.first, transferEncoding);
+}
+
+// The requests name no transfer coding that is accepted beside chunked, and HTTP/1.0 has none (RFC 9112 6.1). The parser removes the
+// chunks of a body that is coded further.
+bool hasKnownCoding(const HttpMessage &message, int minorVersion)
+{
+    const auto codings = std::count_if(message.fields.begin(), message.fields.end(), isTransferEncoding);
+    return codings == 0 || (codings == 1 && minorVersion > 0 && equalFieldNames(*message.field(transferEncoding), "chunked"));
+}
+
 bool isHost(const HttpMessage::Field &field)
 {
     return equalFieldNames(field.first, "Host");
@@ -148,6 +162,9 @@
         }
         message.keepAlive = http_should_keep_alive(parser) != 0;
         const bool bodyless = message.status / 100 == 1 || message.status == 204 || message.status == 304 || reader.m_noBody;
+        if (reader.m_kind == HttpReader::Kind::Response && !bodyless && !hasKnownCoding(message, parser->http_minor)) {
+            return -1;
+        }
         message.untilClose = reader.m_kind == HttpReader::Kind::Response && !bodyless && (parser->flags & (F_CHUNKED | F_CONTENTLENGTH)) == 0;
         reader.m_headerComplete = true;
         if ((parser->flags & F_CONTENTLENGTH) != 0 && parser->content_length > reader.m_limits.maxBodyBytes) {
--- a/tests/platform/brokenanswertest.cpp
+++ b/tests/platform/brokenanswertest.cpp
@@ -301,3 +301,9 @@
 {
     checkAll(Test::brokenFieldLines);
 }
+
+// Guards against a body at a client whose length the server did not state.
+BOOST_AUTO_TEST_CASE(brokenLengthReachesNoClient)
+{
+    checkAll(Test::brokenLengths);
+}
--- a/tests/support/brokenresponses.h
+++ b/tests/support/brokenresponses.h
@@ -83,12 +83,51 @@
     return responses;
 }
 
+/// Returns responses whose fields say nothing certain about the length of the body. @p fields are further field lines of each response.
+inline std::vector<BrokenResponse> brokenLengths(const std::string &fields)
+{
+    std::vector<BrokenResponse> responses;
+    const auto add = [&responses, &fields](const std::string &framing, const std::string &body, const std::string &version = "1.1") {
+        responses.push_back({"framing " + framing, "HTTP/" + version + " 200 OK\r\n" + fields + framing + "\r\n\r\n" + body});
+    };
+    for (const char *length : {"", "x", "5x", "x5", "+5", "-5", "0x5", "5.0", "5 5", "5;", "\"5\"", "5, 6", "18446744073709551621"}) {
+        add(std::string("Content-Length: ") + length, brokenBody);
+    }
+    add("Content-Length: 5\r\nContent-Length: 6", brokenBody);
+    add("Content-Length: 5\r\n 6", brokenBody);
+    const std::string chunked = "5\r\n" + brokenBody + "\r\n0\r\n\r\n";
+    add("Content-Length: 5\r\nTransfer-Encoding: chunked", chunked);
+    add("Transfer-Encoding: chunked\r\nContent-Length: 5", chunked);
+    // The request names no transfer coding that the client accepts beside chunked, which ends the list once (RFC 9112 6.1, 7.4).
+    for (const char *coding : {"",
+                               "gzip",
+                               "identity",
+                               "unchunked",
+                               "chunkedly",
+                               "chunk",
+                               "gzip, chunked",
+                               "chunked, gzip",
+                               "chunked, chunked",
+                               "identity, chunked",
+                               "chunked;q=1",
+                               "\"chunked\"",
+                               "chunked x"}) {
+        add(std::string("Transfer-Encoding: ") + coding, chunked);
+    }
+    add("Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked", chunked);
+    add("Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip", chunked);
+    add("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked", chunked);
+    add("Transfer-Encoding: chunked", chunked, "1.0");
+    return responses;
+}
+
 /// Returns the broken responses of all kinds.
 inline std::vector<BrokenResponse> brokenResponses(const std::string &fields)
 {
     std::vector<BrokenResponse> responses = brokenStatusLines(fields);
-    const std::vector<BrokenResponse> fieldLines = brokenFieldLines(fields);
-    responses.insert(responses.end(), fieldLines.begin(), fieldLines.end());
+    for (const auto &more : {brokenFieldLines(fields), brokenLengths(fields)}) {
+        responses.insert(responses.end(), more.begin(), more.end());
+    }
     return responses;
 }
 }
