HttpReader: chunks and trailers of a response are checked

What callers saw: a server sent chunks whose data was longer than their size, whose line ends were other bytes, or with "5 x" or a control byte in the size line, and the client got 200 with a body cut out of them. A trailer with a blank in its name passed as well.

Cause: http_parser as Debian builds it does not compare the bytes at the ends of chunks: any two bytes follow the data, any one follows a carriage return, and everything behind a blank in the size line is skipped.

Change: ResponseSyntax follows a chunked body: a size line of hexadecimal digits and extensions that ends with both bytes, the data, a line end, and trailers by the grammar of field lines (RFC 9112 7.1). Folded trailers are dropped as before (trailersAreNotPartOfTheHeader).

Why it works: the parser gets only bytes that the grammar allows at their place, so both agree on where each chunk ends.

--- a/packages/net/httpreader.cpp
+++ b/packages/net/httpreader.cpp
@@ -313,12 +313,20 @@
 // Gives the parser no bytes that it would accept against the syntax of a response.
 std::size_t HttpReader::executeResponse(std::string_view data)
 {
-    const std::size_t checked = m_syntax.check(data);
-    if (m_syntax.isBroken()) {
-        m_state = State::Malformed;
-        return 0;
+    std::size_t used = 0;
+    while (used < data.size() && HTTP_PARSER_ERRNO(&m_parser) == HPE_OK) {
+        const std::string_view rest = data.substr(used);
+        const std::size_t checked = m_syntax.check(rest);
+        if (m_syntax.isBroken() || checked == 0) {
+            m_state = State::Malformed;
+            return used;
+        }
+        used += execute(rest.substr(0, checked));
+        if (m_headerComplete) {
+            m_syntax.startBody((m_parser.flags & F_CHUNKED) != 0);
+        }
     }
-    return execute(data.substr(0, checked));
+    return used;
 }
 
 std::size_t HttpReader::read(std::string_view data)
--- a/packages/net/responsesyntax.cpp
+++ b/packages/net/responsesyntax.cpp
@@ -2,12 +2,14 @@
 
 #include <algorithm>
 #include <cctype>
+#include <charconv>
 #include <utility>
 
 namespace Yuccagrade
 {
 namespace
 {
+constexpr std::string_view blanks = " \t";
 constexpr std::string_view lineEnd = "\r\n";
 constexpr std::size_t statusDigits = 3;
 // Kept of a broken line.
@@ -70,11 +72,38 @@
 {
     std::size_t used = 0;
     while (used < data.size() && !isBroken()) {
-        used += m_part == Part::Body ? data.size() - used : checkLine(data.substr(used));
+        const std::string_view rest = data.substr(used);
+        switch (m_part) {
+        case Part::HeadEnd:
+        case Part::End:
+            return used;
+        case Part::PlainBody:
+            return data.size();
+        case Part::ChunkData: {
+            const auto bytes = static_cast<std::size_t>(std::min<std::uint64_t>(m_chunkBytes, rest.size()));
+            m_chunkBytes -= bytes;
+            m_part = m_chunkBytes > 0 ? Part::ChunkData : Part::ChunkDataEnd;
+            used += bytes;
+            break;
+        }
+        case Part::ChunkDataEnd:
+            used += checkChunkDataEnd(rest);
+            break;
+        default:
+            used += checkLine(rest);
+            break;
+        }
     }
     return used;
 }
 
+void ResponseSyntax::startBody(bool chunked)
+{
+    if (m_part == Part::HeadEnd) {
+        m_part = chunked ? Part::ChunkSize : Part::PlainBody;
+    }
+}
+
 // Checks the line that begins or continues with the data once it is whole.
 std::size_t ResponseSyntax::checkLine(std::string_view data)
 {
@@ -98,11 +127,26 @@
     return piece.size();
 }
 
-// A single line feed may end a line of the head (RFC 9112 2.2).
+// The line end behind the data of a chunk is checked byte by byte: the server may send no further line end.
+std::size_t ResponseSyntax::checkChunkDataEnd(std::string_view data)
+{
+    m_line.push_back(data.front());
+    if (!lineEnd.starts_with(m_line)) {
+        setBroken("data behind the end of a chunk", data.substr(0, data.find('\n')));
+    } else if (m_line == lineEnd) {
+        m_line.clear();
+        m_part = Part::ChunkSize;
+    }
+    return 1;
+}
+
+// A single line feed may end a status line or a field line (RFC 9112 2.2), but not the size of a chunk.
 void ResponseSyntax::checkWholeLine(std::string_view line)
 {
-    const std::string_view text = line.substr(0, line.size() - (line.ends_with(lineEnd) ? lineEnd.size() : 1));
-    if (m_part == Part::StatusLine) {
+    const bool endsWithBoth = line.ends_with(lineEnd);
+    const std::string_view text = line.substr(0, line.size() - (endsWithBoth ? lineEnd.size() : 1));
+    switch (m_part) {
+    case Part::StatusLine:
         // http_parser skips empty lines before a response.
         if (text.empty()) {
             return;
@@ -111,11 +155,48 @@
         if (!isStatusLine(text)) {
             setBroken("invalid status line", text);
         }
-    } else if (text.empty()) {
-        m_part = Part::Body;
-    } else if (!isFieldLine(text)) {
-        setBroken("invalid field line", text);
+        return;
+    case Part::ChunkSize:
+        if (!endsWithBoth || !startChunk(text)) {
+            setBroken("invalid size of a chunk", text);
+        }
+        return;
+    case Part::FieldLine:
+        if (text.empty()) {
+            m_part = Part::HeadEnd;
+        } else if (!isFieldLine(text)) {
+            setBroken("invalid field line", text);
+        }
+        return;
+    default:
+        checkTrailerLine(text);
+        return;
+    }
+}
+
+// Trailer fields are dropped, so a folded line does no harm there.
+void ResponseSyntax::checkTrailerLine(std::string_view line)
+{
+    if (line.empty()) {
+        m_part = Part::End;
+    } else if (isFieldLine(line) || (m_part == Part::FurtherTrailer && blanks.find(line.front()) != std::string_view::npos && isFieldValue(line))) {
+        m_part = Part::FurtherTrailer;
+    } else {
+        setBroken("invalid trailer line", line);
+    }
+}
+
+// Reads the size line of a chunk, whose extensions are ignored. Returns false if it is invalid.
+bool ResponseSyntax::startChunk(std::string_view line)
+{
+    const auto size = std::from_chars(line.data(), line.data() + line.size(), m_chunkBytes, 16);
+    if (size.ec != std::errc()) {
+        return false;
     }
+    const std::string_view behind = line.substr(static_cast<std::size_t>(size.ptr - line.data()));
+    const std::string_view extensions = behind.substr(std::min(behind.find_first_not_of(blanks), behind.size()));
+    m_part = m_chunkBytes > 0 ? Part::ChunkData : Part::Trailer;
+    return behind.empty() || (extensions.starts_with(';') && !hasControl(extensions));
 }
 
 void ResponseSyntax::setBroken(std::string_view defect, std::string_view line)
--- a/tests/platform/brokenanswertest.cpp
+++ b/tests/platform/brokenanswertest.cpp
@@ -307,3 +307,9 @@
 {
     checkAll(Test::brokenLengths);
 }
+
+// Guards against a body at a client that was cut out of broken chunks.
+BOOST_AUTO_TEST_CASE(brokenChunksReachNoClient)
+{
+    checkAll(Test::brokenChunks);
+}
--- a/tests/support/brokenresponses.h
+++ b/tests/support/brokenresponses.h
@@ -121,11 +121,45 @@
     return responses;
 }
 
+/// Returns responses with a broken chunk or trailer. @p fields are further field lines of each response.
+inline std::vector<BrokenResponse> brokenChunks(const std::string &fields)
+{
+    using namespace std::string_literals;
+    std::vector<BrokenResponse> responses;
+    const auto add = [&responses, &fields](const std::string &body) {
+        responses.push_back({"chunks " + body, "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n" + body});
+    };
+    const std::string last = "\r\n0\r\n\r\n";
+    for (const std::string &line :
+         {"x\r\n"s,  "\r\n"s,     "-5\r\n"s, "+5\r\n"s, "0x5\r\n"s, " 5\r\n"s, "5 \r\n"s,     "5 5\r\n"s,     "5\t\r\n"s,    "5 x\r\n"s,
+          "5x\r\n"s, ";a=b\r\n"s, "5\n"s,    "5\r"s,    "5\rX"s,    "5;a\n"s,  "5;a\rb\r\n"s, "5;a\x01\r\n"s, "5;a\0b\r\n"s, "10000000000000005\r\n"s}) {
+        add(line + brokenBody + last);
+    }
+    // The data of a chunk is followed by a line end.
+    for (const std::string &end : {"0\r\n\r\n"s,
+                                   "XX0\r\n\r\n"s,
+                                   "\n0\r\n\r\n"s,
+                                   "\r0\r\n\r\n"s,
+                                   "\rX0\r\n\r\n"s,
+                                   "\r\n\r\n0\r\n\r\n"s,
+                                   "\r\n0\n\n"s,
+                                   "\r\n0\r\n\rX"s,
+                                   "\r\n0\rX\r\n"s,
+                                   "\r\n0 x\r\n\r\n"s}) {
+        add("5\r\n" + brokenBody + end);
+    }
+    for (const std::string &trailer :
+         {"X Y: 1"s, "X-Y : 1"s, " X-Y: 1"s, "\tX-Y: 1"s, "X\x01Y: 1"s, "X\x7fY: 1"s, ": 1"s, "X(Y): 1"s, "no colon"s, "X-Y: 1\rX-Z: 2"s, "X-Y: a\0b"s}) {
+        add("5\r\n" + brokenBody + "\r\n0\r\n" + trailer + "\r\n\r\n");
+    }
+    return responses;
+}
+
 /// Returns the broken responses of all kinds.
 inline std::vector<BrokenResponse> brokenResponses(const std::string &fields)
 {
     std::vector<BrokenResponse> responses = brokenStatusLines(fields);
-    for (const auto &more : {brokenFieldLines(fields), brokenLengths(fields)}) {
+    for (const auto &more : {brokenFieldLines(fields), brokenLengths(fields), brokenChunks(fields)}) {
         responses.insert(responses.end(), more.begin(), more.end());
     }
     return responses;
