HttpReader: a response without a body ends with its head

What callers saw: a server sent 204 or 304 with Content-Length: 5 and five bytes behind the head, and the client got 204 with these bytes as a body, which it has to take for the beginning of the next answer. Without the bytes, which a 304 need not have, the client waited until 504. An interim response with such a field made 502 or 504 of the whole answer behind it.

Cause: http_parser knows only from its caller that a response has no body. HttpReader told it so for HEAD, but not for 1xx, 204 and 304.

Change: the head of these responses ends them, whatever their fields say (RFC 9112 6.3). Bytes behind it belong to no request.

Why it works: the decision stands where the status is known, before a byte behind the head is read.

--- a/packages/net/httpreader.cpp
+++ b/packages/net/httpreader.cpp
@@ -171,7 +171,7 @@
             reader.m_state = HttpReader::State::BodyTooLarge;
             return -1;
         }
-        return reader.m_noBody ? 1 : 0;
+        return bodyless ? 1 : 0;
     }
     static int onBody(http_parser *parser, const char *at, std::size_t length)
     {
--- a/tests/net/responsetest.cpp
+++ b/tests/net/responsetest.cpp
@@ -88,3 +88,17 @@
     BOOST_TEST((stateAfter(reader, chunked + largeChunk + largeChunk + "0\r\n\r\n", 1'000, 1'000) == HttpReader::State::Complete));
     BOOST_TEST(reader.message().body.size() == 2 * 0xabcU);
 }
+
+// Guards against refusing a response without a body because of a transfer coding, which says nothing about its length there.
+BOOST_AUTO_TEST_CASE(codingOfABodylessResponseIsIgnored)
+{
+    for (const std::string status : {"204 No Content", "304 Not Modified"}) {
+        HttpReader reader(HttpReader::Kind::Response);
+        reader.read("HTTP/1.1 " + status + "\r\nTransfer-Encoding: gzip, chunked\r\n\r\n");
+        BOOST_TEST((reader.state() == HttpReader::State::Complete), status);
+    }
+    HttpReader reader(HttpReader::Kind::Response);
+    reader.expectNoBody(true);
+    reader.read("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n");
+    BOOST_TEST((reader.state() == HttpReader::State::Complete));
+}
--- a/tests/platform/brokenanswertest.cpp
+++ b/tests/platform/brokenanswertest.cpp
@@ -313,3 +313,51 @@
 {
     checkAll(Test::brokenChunks);
 }
+
+// Guards against bytes behind the head of a response without a body that a client gets as its body, or as the next answer, and against
+// waiting for such a body.
+BOOST_AUTO_TEST_CASE(bodylessResponseEndsWithItsHead)
+{
+    for (const std::string status : {"204 No Content", "304 Not Modified"}) {
+        for (const auto &[framing, body] : {std::pair("Content-Length: 5", ""),
+                                            {"Content-Length: 5", "whole"},
+                                            {"Transfer-Encoding: chunked", ""},
+                                            {"Transfer-Encoding: chunked", "5\r\nwhole\r\n0\r\n\r\n"}}) {
+            Fixture fixture;
+            fixture.broken = [&, framing = framing, body = body](const std::string &requestId) {
+                return "HTTP/1.1 " + status + "\r\n" + serverFields(requestId) + framing + "\r\n\r\n" + body;
+            };
+            Client client(fixture.loop, fixture.port.address());
+            client.send("/safe/broken", "a1");
+            const std::string expected =
+                "HTTP/1.1 " + status + "\r\nX-Yuccagrade-Server-Signature: " + signature + "\r\nX-Yuccagrade-Request-Id: a1\r\nContent-Length: 0\r\n\r\n";
+            fixture.runUntil([&] {
+                return client.received.size() >= expected.size();
+            });
+            BOOST_TEST(client.received == expected, status << ", " << framing << ", body " << body << ": " << client.received);
+            client.send("/safe/after", "a2");
+            fixture.runUntil([&] {
+                return client.received.size() >= (expected + Fixture::wholeAtClient("a2")).size();
+            });
+            BOOST_TEST(client.received == expected + Fixture::wholeAtClient("a2"), client.received);
+            BOOST_TEST(fixture.server.runs("/safe/broken") == 1);
+        }
+    }
+}
+
+// Guards against fields of an interim response that are taken for the framing of the final one.
+BOOST_AUTO_TEST_CASE(interimResponseHasNoBody)
+{
+    for (const std::string framing : {"Content-Length: 5", "Transfer-Encoding: chunked", "Transfer-Encoding: gzip"}) {
+        Fixture fixture;
+        fixture.broken = [&](const std::string &requestId) {
+            return "HTTP/1.1 103 Early Hints\r\n" + framing + "\r\n\r\n" + Fixture::wholeFromServer(requestId);
+        };
+        Client client(fixture.loop, fixture.port.address());
+        client.send("/unsafe/broken", "a1");
+        fixture.runUntil([&] {
+            return client.received.size() >= Fixture::wholeAtClient("a1").size();
+        });
+        BOOST_TEST(client.received == Fixture::wholeAtClient("a1"), framing << ": " << client.received);
+    }
+}
