UpstreamConnection: 101 is no interim response

What callers saw: a server that sent "101 Switching Protocols" and something like a response behind it; the client got that as an answer, and the connection was used again.

Cause: all responses 1xx were skipped. 101 ends HTTP on its connection (RFC 9110 15.2.2), and no call asks for another protocol: the fields Upgrade and Connection of a request are not passed on.

Change: a call ends with 101 as one that may have run, and its connection is closed. HttpClient did so before; both use isInterim() now.

Why it works: nothing behind a 101 is read.

--- a/packages/meshnode/upstreamconnection.cpp
+++ b/packages/meshnode/upstreamconnection.cpp
@@ -136,9 +136,13 @@
 {
     HttpMessage message = m_reader.take();
     updateHeldBytes();
-    if (message.status / 100 == 1) {
+    if (isInterim(message.status)) {
         return skipResponse();
     }
+    if (message.status / 100 == 1) {
+        abandon("protocol switched without a request for it");
+        return true;
+    }
     const UpstreamAnswer answer = m_adapter.readAnswer(message);
     if (!answer.requestId.empty() && answer.requestId != m_call->message.requestId) {
         // A late response to an earlier call; the response to the present one follows.
--- a/packages/net/httpclient.cpp
+++ b/packages/net/httpclient.cpp
@@ -25,11 +25,6 @@
 // Chunk sizes and line ends; extensions of chunks are of no use here.
 constexpr std::size_t maxFramingPerByte = 8;
 
-bool isInterim(int status)
-{
-    return status / 100 == 1 && status != 101;
-}
-
 // True if the connection was closed or has bytes to read although no request is under way on it.
 bool isStale(curl_socket_t socket)
 {
--- a/packages/net/httpreader.cpp
+++ b/packages/net/httpreader.cpp
@@ -244,6 +244,11 @@
     });
 }
 
+bool isInterim(int status)
+{
+    return status / 100 == 1 && status != HTTP_STATUS_SWITCHING_PROTOCOLS;
+}
+
 std::string_view reasonPhrase(int status)
 {
     return http_status_str(static_cast<http_status>(status));
--- a/packages/net/httpreader.h
+++ b/packages/net/httpreader.h
@@ -35,6 +35,8 @@
 bool equalFieldNames(std::string_view a, std::string_view b);
 /// True for fields that concern one connection only and are not forwarded.
 bool isConnectionField(std::string_view name);
+/// True for a response that precedes the final one. 101 is none: it ends HTTP on its connection.
+bool isInterim(int status);
 /// Returns the customary reason phrase of @p status.
 std::string_view reasonPhrase(int status);
 
--- a/tests/platform/brokenanswertest.cpp
+++ b/tests/platform/brokenanswertest.cpp
@@ -361,3 +361,16 @@
         BOOST_TEST(client.received == Fixture::wholeAtClient("a1"), framing << ": " << client.received);
     }
 }
+
+// Guards against an answer at a client that a server sent behind a change to a protocol for which nobody asked.
+BOOST_AUTO_TEST_CASE(unrequestedChangeOfTheProtocolReachesNoClient)
+{
+    for (const std::string fields : {"", "Connection: Upgrade\r\nUpgrade: other\r\n"}) {
+        Fixture fixture;
+        fixture.broken = [&](const std::string &requestId) {
+            return "HTTP/1.1 101 Switching Protocols\r\n" + fields + "\r\n" + Fixture::wholeFromServer(requestId);
+        };
+        fixture.checkClients("/unsafe/broken", fields, 1);
+        fixture.checkClients("/safe/broken", fields, 2);
+    }
+}
