yuccagrade: the command line reads answers as the other clients do

What callers saw: an operator's command took a broken answer for that of a control host: status 600 or 999, "200OK", HTTP/2.0, names of fields with blanks and control bytes, transfer codings that were left out, and broken chunks.

Cause: the command line used libcurl alone, which is lenient in all of these.

Change: the answer is read by HttpReader as received. A broken one counts as none, as a cut one did: the command asks the next control host within its time, or reports that a write may have been accepted (exit code 4).

Why it works: status and body come from the same reader whose syntax is checked, not from libcurl.

--- a/apps/yuccagrade/curlexchange.cpp
+++ b/apps/yuccagrade/curlexchange.cpp
@@ -1,5 +1,7 @@
 #include "curlexchange.h"
 
+#include "net/httpreader.h"
+
 #include <curl/curl.h>
 #include <memory>
 
@@ -9,18 +11,33 @@
 {
 // Above the answer with the status of 1,800 processes, about 0.3 MB, and a manifest of 2 MB in JSON.
 constexpr std::size_t maxAnswerBytes = 16'000'000;
+constexpr std::size_t maxHeaderBytes = 65'536;
 // A host that is down must not use up the time for the other control hosts.
 constexpr long connectTimeoutMs = 1000;
 
-std::size_t appendBody(char *data, std::size_t size, std::size_t count, void *context)
+// Reads a part of the answer as received. libcurl accepts more than the syntax of responses allows. Returns a smaller number if the answer
+// is broken or too large; libcurl then ends the transfer with an error.
+std::size_t readAnswer(char *data, std::size_t size, std::size_t count, void *context)
 {
-    auto &body = *static_cast<std::string *>(context);
-    const std::size_t bytes = size * count;
-    if (body.size() + bytes > maxAnswerBytes) {
-        return 0; // libcurl ends the transfer with an error
+    auto &reader = *static_cast<HttpReader *>(context);
+    std::string_view rest(data, size * count);
+    while (!rest.empty()) {
+        const std::size_t used = reader.read(rest);
+        rest.remove_prefix(used);
+        if (reader.state() == HttpReader::State::Complete && isInterim(reader.message().status)) {
+            reader.take();
+        } else if (used == 0) {
+            return 0;
+        }
     }
-    body.append(data, bytes);
-    return bytes;
+    return size * count;
+}
+
+// Completes the answer at the end of the transfer, which ends one without a length.
+bool isWhole(HttpReader &reader)
+{
+    reader.readEnd();
+    return reader.state() == HttpReader::State::Complete && reader.message().status / 100 != 1;
 }
 
 using Handle = std::unique_ptr<CURL, decltype(&curl_easy_cleanup)>;
@@ -41,13 +58,18 @@
     const Handle handle(curl_easy_init(), curl_easy_cleanup);
     const Headers headers = headersFor(request);
     OperatorAnswer answer;
+    HttpReader reader(HttpReader::Kind::Response, {maxHeaderBytes, maxAnswerBytes});
     char error[CURL_ERROR_SIZE] = "";
     CURL *curl = handle.get();
     curl_easy_setopt(curl, CURLOPT_URL, ("http://" + request.address + request.path).c_str());
     curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers.get());
     curl_easy_setopt(curl, CURLOPT_ERRORBUFFER, error);
-    curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, appendBody);
-    curl_easy_setopt(curl, CURLOPT_WRITEDATA, &answer.body);
+    curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, readAnswer);
+    curl_easy_setopt(curl, CURLOPT_HEADERDATA, &reader);
+    curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, readAnswer);
+    curl_easy_setopt(curl, CURLOPT_WRITEDATA, &reader);
+    // The reader needs the chunks.
+    curl_easy_setopt(curl, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
     curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
     // The secret must reach the given address only, never a proxy from the environment.
     curl_easy_setopt(curl, CURLOPT_PROXY, "");
@@ -58,13 +80,14 @@
         curl_easy_setopt(curl, CURLOPT_POSTFIELDS, request.body.c_str());
     }
     const CURLcode result = curl_easy_perform(curl);
-    if (result != CURLE_OK) {
-        answer.error = *error ? error : curl_easy_strerror(result);
-        return answer;
+    if (result == CURLE_OK && isWhole(reader)) {
+        answer.status = reader.message().status;
+        answer.body = reader.take().body;
+    } else if (reader.state() == HttpReader::State::Malformed) {
+        answer.error = "broken answer: " + std::string(reader.defect());
+    } else {
+        answer.error = result == CURLE_OK ? "incomplete answer" : *error ? error : curl_easy_strerror(result);
     }
-    long status = 0;
-    curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
-    answer.status = static_cast<int>(status);
     return answer;
 }
 }
--- a/tests/cli/curltest.cpp
+++ b/tests/cli/curltest.cpp
@@ -1,6 +1,7 @@
 #undef BOOST_TEST_MODULE // clitest.cpp defines the main function of this program
 #include <boost/test/unit_test.hpp>
 
+#include "../support/brokenresponses.h"
 #include "yuccagrade/curlexchange.h"
 
 #include <arpa/inet.h>
@@ -96,3 +97,31 @@
     BOOST_TEST(!cut.error.empty());
     BOOST_TEST(curlExchange()({"GET", "127.0.0.1:1", "/", {}, "s3cret", 5000}).status == 0);
 }
+
+// Guards against a broken answer that an operator gets as the answer of a control host.
+BOOST_AUTO_TEST_CASE(curlReportsBrokenAnswers)
+{
+    for (const Test::BrokenResponse &response : Test::brokenResponses("X-A: b\r\n")) {
+        OneShotServer server(response.bytes);
+        const OperatorAnswer answer = curlExchange()({"GET", server.address(), "/v1/status", {}, "s3cret", 5000});
+        BOOST_TEST(answer.status == 0, response.name << ": status " << answer.status << ", body " << answer.body);
+        BOOST_TEST(!answer.error.empty(), response.name);
+    }
+}
+
+// Guards against refusing answers without a length, in chunks or behind an interim response.
+BOOST_AUTO_TEST_CASE(curlReadsAnswersOfAnyFraming)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n";
+    for (const std::string &bytes : {head + "Content-Length: 2\r\n\r\n{}",
+                                     head + "\r\n{}",
+                                     head + "Transfer-Encoding: chunked\r\n\r\n1\r\n{\r\n1;a=b\r\n}\r\n0\r\nX-A: b\r\n\r\n",
+                                     "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + head + "Content-Length: 2\r\n\r\n{}"}) {
+        OneShotServer server(bytes);
+        const OperatorAnswer answer = curlExchange()({"GET", server.address(), "/v1/status", {}, "s3cret", 5000});
+        BOOST_TEST(answer.status == 200, bytes << ": " << answer.error);
+        BOOST_TEST(answer.body == "{}");
+    }
+    OneShotServer server("HTTP/1.1 204 No Content\r\n\r\n");
+    BOOST_TEST(curlExchange()({"GET", server.address(), "/v1/status", {}, "s3cret", 5000}).status == 204);
+}
