Log: which server sent what in place of an answer

What operators saw: "upstream-answer-broken" with the reason "malformed response" and the id of the upstream, on loopback the reason "malformed message" only; nothing at all for a health check.

Cause: the reader described a defect in general terms, and the bytes were dropped with the response.

Change: HttpReader keeps up to 128 bytes at the place of the defect. The event has the address of the upstream and these bytes, on both ways of a request and for health checks; malformed responses of other nodes are logged with their address, and the command line prints the defect behind the address of the control host. Bytes that are not printable are written as \xNN. HttpClient takes bytes without a status line from libcurl, which refused them unseen. Where libcurl refuses a response by itself, such as status 000 on loopback, the event has its text instead of the bytes.

Evidence: logNamesTheServerOfABrokenResponse and the last checks of brokenResponsesReachNoCaller and of brokenHealthResponseIsNoSignOfHealth need the new fields and hooks; the former event had neither the address nor the bytes.

Why it works: the bytes are copied when the defect is found, before the response is released.

--- a/apps/yuccagrade/curlexchange.cpp
+++ b/apps/yuccagrade/curlexchange.cpp
@@ -84,7 +84,7 @@
         answer.status = reader.message().status;
         answer.body = reader.take().body;
     } else if (reader.state() == HttpReader::State::Malformed) {
-        answer.error = "broken answer: " + std::string(reader.defect());
+        answer.error = "broken answer, " + describeDefect(reader);
     } else {
         answer.error = result == CURLE_OK ? "incomplete answer" : *error ? error : curl_easy_strerror(result);
     }
--- a/packages/base/eventlog.cpp
+++ b/packages/base/eventlog.cpp
@@ -148,6 +148,21 @@
     return severityNames[static_cast<std::size_t>(severity)];
 }
 
+std::string printable(std::string_view bytes)
+{
+    constexpr std::string_view digits = "0123456789abcdef";
+    std::string text;
+    for (const char c : bytes) {
+        const auto value = static_cast<unsigned char>(c);
+        if (c >= ' ' && c <= '~' && c != '\\') {
+            text += c;
+        } else {
+            text.append("\\x").append(1, digits[value / digits.size()]).append(1, digits[value % digits.size()]);
+        }
+    }
+    return text;
+}
+
 std::string toText(const HybridTime &time)
 {
     return std::to_string(time.wallMs) + '.' + std::to_string(time.counter);
--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -122,6 +122,9 @@
     auto operator<=>(const HybridTime &) const = default;
 };
 
+/// Returns @p bytes for a field of an event: those that are not printable ASCII, and the backslash, as \xNN.
+std::string printable(std::string_view bytes);
+
 /// "wall.counter" as used in headers and event files.
 std::string toText(const HybridTime &time);
 /// Parses "wall.counter". Returns false on a malformed text.
--- a/packages/meshnode/healthprobe.cpp
+++ b/packages/meshnode/healthprobe.cpp
@@ -21,6 +21,7 @@
         return;
     }
     m_reader = std::make_unique<HttpReader>(HttpReader::Kind::Response, HttpReaderLimits{HttpReaderLimits().maxHeaderBytes, maxBodyBytes});
+    m_address = address;
     m_stream->onData = [this](std::string_view data) {
         read(data);
     };
@@ -33,6 +34,11 @@
     if (m_reader->state() == HttpReader::State::Reading) {
         return;
     }
+    if (m_reader->state() == HttpReader::State::Malformed) {
+        m_stream->close();
+        onMalformed(m_address, describeDefect(*m_reader));
+        return;
+    }
     const bool complete = m_reader->state() == HttpReader::State::Complete;
     const HttpMessage message = m_reader->take();
     m_stream->close();
--- a/packages/meshnode/healthprobe.h
+++ b/packages/meshnode/healthprobe.h
@@ -18,6 +18,9 @@
     /// stated.
     std::function<void(const std::string &id, int slots, std::optional<double> coldLeftMs)> onHealthy;
 
+    /// Called with the address of an upstream whose response was malformed, and the defect.
+    std::function<void(const std::string &address, const std::string &defect)> onMalformed;
+
     HealthProbe(EventLoop &loop, const ProtocolAdapter &adapter);
     /// Sends a health request; a pending one is abandoned.
     void sendRequest(const std::string &address, const std::string &path, const std::string &sourceIp);
@@ -27,6 +30,7 @@
 
     EventLoop &m_loop;
     const ProtocolAdapter &m_adapter;
+    std::string m_address;
     std::shared_ptr<TcpStream> m_stream;
     std::unique_ptr<HttpReader> m_reader;
 };
--- a/packages/meshnode/localupstreams.cpp
+++ b/packages/meshnode/localupstreams.cpp
@@ -419,6 +419,8 @@
         m_log.write(Event::UpstreamAnswerBroken,
                     {{"request", call.message.requestId},
                      {"upstream", id},
+                     {"address", upstream.info.address},
+                     {"received", printable(connection->defectiveBytes())},
                      {"sent_ms_ago", std::to_string(static_cast<int>(now() - connection->sentAtMs()))},
                      {"heard_ms_ago", std::to_string(static_cast<int>(now() - upstream.lastContactMs))},
                      {"reason", reply.reason}});
--- a/packages/meshnode/meshnode.cpp
+++ b/packages/meshnode/meshnode.cpp
@@ -215,6 +215,9 @@
     m_probe.onHealthy = [this](const std::string &id, int slots, std::optional<double> coldLeftMs) {
         m_upstreams.addProbedUpstream(id, m_settings.upstreamAddress, slots, coldLeftMs);
     };
+    m_probe.onMalformed = [this](const std::string &address, const std::string &defect) {
+        m_log.write(Event::UpstreamAnswerBroken, {{"request", "health"}, {"address", address}, {"reason", "malformed response: " + defect}});
+    };
     m_leader.onTargetLost = [this] {
         m_broker.teamRateLimiter().startAccount();
     };
--- a/packages/meshnode/upstreamconnection.cpp
+++ b/packages/meshnode/upstreamconnection.cpp
@@ -122,7 +122,8 @@
             continue;
         }
         if (m_reader.state() != HttpReader::State::Complete) {
-            abandon("malformed response");
+            m_defectiveBytes = m_reader.defectiveBytes();
+            abandon("malformed response: " + std::string(m_reader.defect()));
             return;
         }
         if (finishMessage(!data.empty())) {
--- a/packages/meshnode/upstreamconnection.h
+++ b/packages/meshnode/upstreamconnection.h
@@ -85,6 +85,11 @@
     {
         return m_stream->unsent();
     }
+    /// Bytes of a malformed response to the last call in which the defect was found; empty if there was none.
+    const std::string &defectiveBytes() const
+    {
+        return m_defectiveBytes;
+    }
     double sentAtMs() const
     {
         return m_sentAtMs;
@@ -108,6 +113,7 @@
     std::shared_ptr<TcpStream> m_stream;
     HttpReader m_reader;
     std::optional<OfferedCall> m_call;
+    std::string m_defectiveBytes;
     std::vector<std::size_t> m_declinedCalls; ///< hashes of request ids
     std::uint64_t m_sentBeforeCall = 0; ///< bytes sent on the stream before the present call
     std::uint64_t m_headSentAt = 0; ///< bytes sent on the stream once the head of the present call was sent
--- a/packages/net/httpclient.cpp
+++ b/packages/net/httpclient.cpp
@@ -1,6 +1,7 @@
 #include "httpclient.h"
 
 #include "base/errc.h"
+#include "base/eventlog.h"
 #include "httpreader.h"
 
 #include <curl/curl.h>
@@ -9,6 +10,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <unordered_map>
 #include <utility>
@@ -24,6 +26,8 @@
 constexpr std::size_t maxHeaderBytes = 65'536;
 // Chunk sizes and line ends; extensions of chunks are of no use here.
 constexpr std::size_t maxFramingPerByte = 8;
+// Kept of a response that does not begin with a status line.
+constexpr std::size_t maxShownBytes = 128;
 
 // True if the connection was closed or has bytes to read although no request is under way on it.
 bool isStale(curl_socket_t socket)
@@ -139,6 +143,8 @@
     std::size_t bodyBytes = 0; ///< as received, with the transfer coding
     std::size_t bufferedBytes = 0; ///< counted in the sum of all transfers
     std::size_t fieldCount = 0; ///< without trailer fields
+    std::string bytesWithoutHead; ///< the start of a response that libcurl takes for one of HTTP/0.9
+    std::array<char, CURL_ERROR_SIZE> errorText{};
     bool tooLarge = false;
     bool sent = false; ///< a request was about to be sent
     bool staleConnection = false; ///< the chosen connection could not be used, and nothing was sent
@@ -194,6 +200,10 @@
     if (transfer.tooLarge) {
         return 0;
     }
+    if (transfer.headerBytes == 0) {
+        transfer.bytesWithoutHead.assign(data, std::min(size * count, maxShownBytes));
+        return 0;
+    }
     const bool usable = transfer.read({data, size * count});
     transfer.bodyBytes += size * count;
     transfer.tooLarge = transfer.isFramingTooLarge();
@@ -236,6 +246,9 @@
     if (transfer.tooLarge) {
         return Errc::TooLarge;
     }
+    if (!transfer.bytesWithoutHead.empty()) {
+        return Errc::Malformed;
+    }
     switch (transfer.reader.state()) {
     case HttpReader::State::Complete:
         return transfer.reader.message().status / 100 == 1 ? make_error_code(Errc::Malformed) : std::error_code();
@@ -392,6 +405,13 @@
     curl_easy_getinfo(transfer.easy, CURLINFO_REQUEST_SIZE, &sentBytes);
     result.bytesSent = sentBytes > 0 || transfer.sent;
     result.response.status = 0;
+    if (!transfer.bytesWithoutHead.empty()) {
+        result.defect = "invalid status line: " + printable(transfer.bytesWithoutHead);
+    } else if (transfer.reader.state() == HttpReader::State::Malformed) {
+        result.defect = describeDefect(transfer.reader);
+    } else if (result.error == Errc::Malformed || result.error == Errc::TransportFailed) {
+        result.defect = transfer.errorText.front() != 0 ? transfer.errorText.data() : curl_easy_strerror(code);
+    }
     if (transfer.reader.headerComplete()) {
         result.response = toResponse(transfer.reader.take(), transfer.fieldCount);
     }
@@ -510,6 +530,9 @@
         curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
     }
     curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    // The bytes of a response without a status line are refused in appendBody(), where they are known.
+    curl_easy_setopt(easy, CURLOPT_HTTP09_ALLOWED, 1L);
+    curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, transfer.errorText.data());
     curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
--- a/packages/net/httpclient.h
+++ b/packages/net/httpclient.h
@@ -25,6 +25,7 @@
 struct HttpResult {
     /// Timeout, ConnectFailed, TransportFailed (also for a response that ends early or has no length), TooLarge, Malformed
     std::error_code error;
+    std::string defect; ///< of a malformed response, with the bytes in question unless libcurl refused it
     bool bytesSent = false; ///< false only if no byte of the request left this process
     HttpResponse response;
 };
--- a/packages/net/httpreader.cpp
+++ b/packages/net/httpreader.cpp
@@ -1,5 +1,7 @@
 #include "httpreader.h"
 
+#include "base/eventlog.h"
+
 #include <algorithm>
 #include <array>
 #include <limits>
@@ -24,6 +26,9 @@
 constexpr std::size_t maxUsedSpareBytes = 128U << 10U;
 // Short fields of a complete header lie in an array that has grown to up to twice its content.
 constexpr std::size_t minShrunkFields = 64;
+// Bytes around the place of a defect.
+constexpr std::size_t shownBytesBefore = 64;
+constexpr std::size_t shownBytes = 128;
 constexpr std::string_view transferEncoding = "Transfer-Encoding";
 constexpr std::array<std::string_view, 8>
     connectionFields{"connection", "keep-alive", "proxy-connection", "te", "trailer", "upgrade", "transfer-encoding", "content-length"};
@@ -163,6 +168,7 @@
         message.keepAlive = http_should_keep_alive(parser) != 0;
         const bool bodyless = message.status / 100 == 1 || message.status == 204 || message.status == 304 || reader.m_noBody;
         if (reader.m_kind == HttpReader::Kind::Response && !bodyless && !hasKnownCoding(message, parser->http_minor)) {
+            reader.m_refusedBytes = *message.field(transferEncoding);
             return -1;
         }
         message.untilClose = reader.m_kind == HttpReader::Kind::Response && !bodyless && (parser->flags & (F_CHUNKED | F_CONTENTLENGTH)) == 0;
@@ -249,6 +255,11 @@
     return status / 100 == 1 && status != HTTP_STATUS_SWITCHING_PROTOCOLS;
 }
 
+std::string describeDefect(const HttpReader &reader)
+{
+    return std::string(reader.defect()) + ": " + printable(reader.defectiveBytes());
+}
+
 std::string_view reasonPhrase(int status)
 {
     return http_status_str(static_cast<http_status>(status));
@@ -273,6 +284,7 @@
     m_headerComplete = false;
     m_inValue = false;
     m_syntax = ResponseSyntax();
+    m_refusedBytes.clear();
 }
 
 void HttpReader::reserveBody(std::size_t moreBytes)
@@ -331,6 +343,10 @@
             m_syntax.startBody((m_parser.flags & F_CHUNKED) != 0);
         }
     }
+    const auto error = HTTP_PARSER_ERRNO(&m_parser);
+    if (error != HPE_OK && error != HPE_PAUSED && m_refusedBytes.empty()) {
+        m_refusedBytes = data.substr(used - std::min(used, shownBytesBefore), shownBytes);
+    }
     return used;
 }
 
@@ -387,6 +403,11 @@
     return m_syntax.isBroken() ? m_syntax.defect() : http_errno_description(HTTP_PARSER_ERRNO(&m_parser));
 }
 
+std::string_view HttpReader::defectiveBytes() const
+{
+    return m_syntax.isBroken() ? m_syntax.line() : m_refusedBytes;
+}
+
 HttpMessage HttpReader::take()
 {
     HttpMessage message = std::move(m_message);
--- a/packages/net/httpreader.h
+++ b/packages/net/httpreader.h
@@ -46,6 +46,10 @@
     std::size_t maxBodyBytes = 67'108'864;
 };
 
+class HttpReader;
+/// Returns a description of a malformed response with the bytes in question, for people.
+std::string describeDefect(const HttpReader &reader);
+
 /// Reads HTTP/1.1 messages from a byte stream, one at a time. Trailers are dropped.
 class HttpReader
 {
@@ -82,6 +86,8 @@
     }
     /// Returns a description of the defect of a malformed message.
     std::string_view defect() const;
+    /// Returns the bytes of a malformed response in which the defect was found.
+    std::string_view defectiveBytes() const;
     /// Returns the complete message and starts over.
     HttpMessage take();
     /// The next response answers a HEAD request and has no body.
@@ -111,6 +117,7 @@
     HttpReaderLimits m_limits;
     http_parser m_parser{};
     ResponseSyntax m_syntax; ///< of a response
+    std::string m_refusedBytes; ///< of a response, where it was refused in spite of its syntax
     HttpMessage m_message;
     State m_state = State::Idle;
     std::size_t m_headerBytes = 0;
--- a/packages/node/forwarder.cpp
+++ b/packages/node/forwarder.cpp
@@ -62,7 +62,10 @@
     call.headers[Headers::call] = encoded;
     call.headers[Headers::peer] = header;
     m_log.write(Event::CallForwarded, {{"request", meta.requestId}, {"to", address}});
-    return m_client.send(std::move(call), [this, header, retriesGranted = meta.retries, done = std::move(done)](const HttpResult &result) {
+    return m_client.send(std::move(call), [this, address, header, retriesGranted = meta.retries, done = std::move(done)](const HttpResult &result) {
+        if (result.error == Errc::Malformed) {
+            m_log.write(Event::PeerRejected, {{"reason", "malformed response: " + result.defect}, {"from", address}});
+        }
         done(toOutcome(header, result, retriesGranted));
     });
 }
--- a/packages/node/upstreamdispatcher.cpp
+++ b/packages/node/upstreamdispatcher.cpp
@@ -275,6 +275,7 @@
     http.method = call.meta.method;
     http.address = m_upstreamIp + ':' + std::to_string(m_upstream ? m_upstream->port : 0);
     http.target = call.meta.target;
+    call.address = http.address;
     http.headers = std::move(call.headers);
     http.headers[Headers::context] = call.running->contextId;
     http.headers[Headers::timeoutMs] = std::to_string(remaining);
@@ -297,7 +298,12 @@
     CallOutcome outcome;
     if (result.error) {
         outcome.problem = toProblem(result);
-        m_log.write(outcome.problem->event, {{"request", meta.requestId}, {"team", meta.team}, {"reason", result.error.message()}});
+        m_log.write(outcome.problem->event,
+                    {{"request", meta.requestId},
+                     {"team", meta.team},
+                     {"from", found->second.address},
+                     {"reason", result.error.message()},
+                     {"received", result.defect}});
     } else {
         outcome.response = result.response;
         outcome.response.headers = forwardedResponseHeaders(result.response.headers);
--- a/packages/node/upstreamdispatcher.h
+++ b/packages/node/upstreamdispatcher.h
@@ -49,6 +49,7 @@
         double startedMs = 0;
         HttpCallId http = 0;
         std::shared_ptr<RunningCall> running; ///< set when the call is sent to the upstream
+        std::string address = {}; ///< of the upstream, once the call was sent
     };
 
     bool parseAnnouncement(const std::string &body, UpstreamAnnouncement &announcement) const;
--- a/packages/protocol/peerlink.cpp
+++ b/packages/protocol/peerlink.cpp
@@ -80,7 +80,7 @@
             error = Errc::RemoteError;
         }
         if (error) {
-            m_log.write(Event::PeerUnreachable, {{"peer", address}, {"reason", error.message()}});
+            m_log.write(Event::PeerUnreachable, {{"peer", address}, {"reason", error.message()}, {"received", result.defect}});
         }
         callback(error, error ? Json::Value() : answer["result"]);
     });
--- a/tests/meshnode/healthprobetest.cpp
+++ b/tests/meshnode/healthprobetest.cpp
@@ -35,6 +35,9 @@
             answer.upstreamId = message.field("X-Instance") ? *message.field("X-Instance") : std::string();
             return answer;
         };
+        probe.onMalformed = [this](const std::string &address, const std::string &) {
+            malformedFrom = address;
+        };
         probe.onHealthy = [this](const std::string &id, int, std::optional<double>) {
             healthy.push_back(id);
         };
@@ -59,6 +62,7 @@
     TcpListener listener;
     HealthProbe probe;
     std::vector<std::string> healthy;
+    std::string malformedFrom;
     bool expired = false;
 };
 }
@@ -70,7 +74,9 @@
     for (const Test::BrokenResponse &response : Test::brokenResponses("X-Instance: i-1\r\n")) {
         fixture.run(response.bytes);
         BOOST_TEST(fixture.healthy.empty(), response.name);
+        BOOST_TEST(fixture.malformedFrom == fixture.listener.address(), response.name);
         BOOST_TEST(!fixture.expired, response.name);
+        fixture.malformedFrom.clear();
         fixture.healthy.clear();
         fixture.expired = false;
     }
--- a/tests/net/faultyservertest.cpp
+++ b/tests/net/faultyservertest.cpp
@@ -306,6 +306,7 @@
             BOOST_TEST(static_cast<bool>(ended->error), response.name << ": status " << ended->response.status << ", body " << ended->response.body);
             BOOST_TEST((ended->error != Errc::Timeout), response.name);
             BOOST_TEST(ended->bytesSent, response.name);
+            BOOST_TEST(!ended->defect.empty(), response.name << ": " << ended->error.message());
             BOOST_TEST(waitUntilClosed(loop, server), response.name);
             BOOST_TEST(server.accepted() == 1, response.name);
         }
--- a/tests/node/ingresstest.cpp
+++ b/tests/node/ingresstest.cpp
@@ -6,6 +6,11 @@
 #include "node/headers.h"
 #include "node/ingresshandler.h"
 
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <unistd.h>
+
 using namespace Yuccagrade;
 
 namespace
@@ -38,6 +43,28 @@
     return log;
 }
 
+/// Events of warnings in a file that ends with this object.
+struct EventFile {
+    EventFile()
+        : path(std::filesystem::temp_directory_path() / ("ingresstest-" + std::to_string(::getpid()) + ".jsonl"))
+        , log(Clock::system(), "test", path, Severity::Warning)
+    {
+    }
+    ~EventFile()
+    {
+        std::filesystem::remove(path);
+    }
+    EventFile(const EventFile &) = delete;
+    EventFile &operator=(const EventFile &) = delete;
+    std::string text() const
+    {
+        std::ifstream input(path);
+        return {std::istreambuf_iterator<char>(input), {}};
+    }
+    std::string path;
+    EventLog log;
+};
+
 /// A control host that gives every node the state of manifestText.
 class ControlHost
 {
@@ -79,8 +106,9 @@
 class Node
 {
 public:
-    Node(EventLoop &loop, const std::string &controlAddress)
-        : m_client(loop)
+    Node(EventLoop &loop, const std::string &controlAddress, EventLog &log = testLog())
+        : m_log(log)
+        , m_client(loop)
         , m_auth(identity(), secret, m_log.hybridClock(), loop.clock())
         , m_link(loop, m_auth, m_client, m_log)
         , m_plane(loop, m_link, m_log, settings(controlAddress), identity(), hooks())
@@ -150,7 +178,7 @@
         return hooks;
     }
 
-    EventLog &m_log = testLog();
+    EventLog &m_log;
     Metrics m_metrics;
     HttpClient m_client;
     PeerAuth m_auth;
@@ -262,7 +290,8 @@
         connections.push_back(std::move(stream));
     });
     BOOST_REQUIRE(!upstream.listen("127.0.0.1:0"));
-    Node node(loop, control.address());
+    EventFile events;
+    Node node(loop, control.address(), events.log);
     node.announce(upstream.address());
     runUntil(loop, [&] {
         return node.isReady();
@@ -304,4 +333,8 @@
             }
         }
     }
+    const std::string text = events.text();
+    BOOST_TEST(text.find(R"("from":")" + upstream.address() + R"(","name":"upstream-answer-broken")") != std::string::npos, text);
+    BOOST_TEST(text.find(R"("received":"invalid field line:  : 1")") != std::string::npos, text);
+    BOOST_TEST(text.find(R"("received":"")") == std::string::npos, text);
 }
--- a/tests/platform/brokenanswertest.cpp
+++ b/tests/platform/brokenanswertest.cpp
@@ -374,3 +374,28 @@
         fixture.checkClients("/safe/broken", fields, 2);
     }
 }
+
+// Guards against a broken response of which the log does not say who sent it, and what it was.
+BOOST_AUTO_TEST_CASE(logNamesTheServerOfABrokenResponse)
+{
+    const std::string lineStart = R"({"address":")";
+    for (const auto &[bytes, logged] : {std::pair("HTTP/1.1 000 Out\r\n\r\n", "HTTP/1.1 000 Out"),
+                                        {"HTTP/1.1 200 OK\r\nX\x01Y Z\\: 1\r\n\r\n", R"(X\\x01Y Z\\x5c: 1)"},
+                                        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n", "gzip, chunked"},
+                                        {"HTTP/1.1 200 OK\r\nContent-Length: 5x\r\n\r\n", "Content-Length: 5x"}}) {
+        TestLog log("one");
+        Fixture fixture(log.log);
+        fixture.broken = [bytes = bytes](const std::string &) {
+            return bytes;
+        };
+        fixture.checkClients("/unsafe/broken", bytes, 1);
+        const std::string text = log.text();
+        const std::size_t at = text.find(lineStart + fixture.server.address() + '"');
+        BOOST_REQUIRE_MESSAGE(at != std::string::npos, text);
+        const std::string line = text.substr(at, text.find('\n', at) - at);
+        BOOST_TEST(line.find(R"("name":"upstream-answer-broken")") != std::string::npos, line);
+        BOOST_TEST(line.find(R"("upstream":"i-1")") != std::string::npos, line);
+        BOOST_TEST(line.find(R"("request":"a1")") != std::string::npos, line);
+        BOOST_TEST(line.find(logged) != std::string::npos, line << " does not contain " << logged);
+    }
+}
