CallBroker: a reply of another node has a final status

What callers saw: while nodes are replaced by this version, a node of an earlier one beside a server in trouble passes on status 000, and the node beside the client sent it to the client.

Cause: replies between nodes were decoded, but their status was not looked at.

Change: a reply that is an answer has a status from 200 to 599. Any other one counts as a call that may have run and is logged with the upstream and its node.

Evidence: replyWithoutAFinalStatusReachesNoClient fails for all of its 8 statuses without the check ("HTTP/1.1 0 X" at the client), and passes with it.

Why it works: all replies of other nodes come this way, and the call ends before the head of the reply is used. Heads of earlier versions with other defects, such as a folded field, are not looked at here.

--- a/packages/meshnode/callbroker.cpp
+++ b/packages/meshnode/callbroker.cpp
@@ -408,10 +408,23 @@
 void CallBroker::handleReply(const std::string &peerAddress, const ReplyMessage &reply)
 {
     const auto found = m_calls.find(reply.callId);
-    if (found != m_calls.end() && found->second->attemptInProgress && found->second->peerAddress == peerAddress) {
-        const CallPtr call = found->second;
+    if (found == m_calls.end() || !found->second->attemptInProgress || found->second->peerAddress != peerAddress) {
+        return;
+    }
+    const CallPtr call = found->second;
+    // A node of an earlier version passes on what its upstream sent in place of a status.
+    if (reply.outcome != CallOutcome::Answered || isFinal(reply.status)) {
         finishAttempt(call, reply);
+        return;
     }
+    m_log.write(Event::UpstreamAnswerBroken,
+                {{"request", call->requestId}, {"upstream", call->upstreamId}, {"node", peerAddress}, {"received", "status " + std::to_string(reply.status)}});
+    ReplyMessage broken;
+    broken.callId = reply.callId;
+    broken.outcome = CallOutcome::MayHaveRun;
+    broken.reason = "reply without a final status";
+    broken.load = reply.load;
+    finishAttempt(call, std::move(broken));
 }
 
 void CallBroker::linkClosed(const std::string &peerAddress, bool connected)
--- a/packages/net/httpreader.cpp
+++ b/packages/net/httpreader.cpp
@@ -29,6 +29,7 @@
 // Bytes around the place of a defect.
 constexpr std::size_t shownBytesBefore = 64;
 constexpr std::size_t shownBytes = 128;
+constexpr int maxStatus = 599;
 constexpr std::string_view transferEncoding = "Transfer-Encoding";
 constexpr std::array<std::string_view, 8>
     connectionFields{"connection", "keep-alive", "proxy-connection", "te", "trailer", "upgrade", "transfer-encoding", "content-length"};
@@ -255,6 +256,11 @@
     return status / 100 == 1 && status != HTTP_STATUS_SWITCHING_PROTOCOLS;
 }
 
+bool isFinal(int status)
+{
+    return status >= HTTP_STATUS_OK && status <= maxStatus;
+}
+
 std::string describeDefect(const HttpReader &reader)
 {
     return std::string(reader.defect()) + ": " + printable(reader.defectiveBytes());
--- a/packages/net/httpreader.h
+++ b/packages/net/httpreader.h
@@ -37,6 +37,8 @@
 bool isConnectionField(std::string_view name);
 /// True for a response that precedes the final one. 101 is none: it ends HTTP on its connection.
 bool isInterim(int status);
+/// True for the status of a response that ends its request.
+bool isFinal(int status);
 /// Returns the customary reason phrase of @p status.
 std::string_view reasonPhrase(int status);
 
--- a/tests/platform/brokenanswertest.cpp
+++ b/tests/platform/brokenanswertest.cpp
@@ -194,6 +194,12 @@
         })
     {
         BOOST_REQUIRE(!port.listen("127.0.0.1:0"));
+        links.onFrame = [](const std::string &, FrameType, std::string_view) {};
+        links.onClosed = [](const std::string &, bool) {};
+        links.onSent = [](FrameType, std::size_t, bool) {};
+        links.isBusy = [](const std::string &) {
+            return false;
+        };
         upstreams.onStateChanged = [] {};
         upstreams.setStoredDrains({});
         Announcement announcement;
@@ -399,3 +405,39 @@
         BOOST_TEST(line.find(logged) != std::string::npos, line << " does not contain " << logged);
     }
 }
+
+// Guards against a broken answer that a node of an earlier version passed on to the node of the client.
+BOOST_AUTO_TEST_CASE(replyWithoutAFinalStatusReachesNoClient)
+{
+    for (const int status : {0, 1, 99, 101, 199, 600, 999, -200}) {
+        Fixture fixture;
+        std::vector<std::shared_ptr<TcpStream>> accepted;
+        TcpListener peer(fixture.loop, [&](std::shared_ptr<TcpStream> stream) {
+            accepted.push_back(std::move(stream));
+        });
+        BOOST_REQUIRE(!peer.listen("127.0.0.1:0"));
+        UpstreamEntry own = fixture.upstreams.entries().front();
+        UpstreamEntry remote = own;
+        own.state = UpstreamState::Draining;
+        remote.id = "i-2";
+        remote.peerAddress = peer.address();
+        fixture.broker.directory().update({own, remote});
+        Client client(fixture.loop, fixture.port.address());
+        client.send("/unsafe/order", "a1");
+        fixture.runUntil([&] {
+            return fixture.broker.expectsReply(peer.address());
+        });
+        ReplyMessage reply;
+        reply.callId = 1;
+        reply.outcome = CallOutcome::Answered;
+        reply.status = status;
+        reply.head = "HTTP/1.1 " + std::to_string(status) + " X\r\n";
+        reply.body = "body";
+        fixture.broker.handleReply(peer.address(), reply);
+        BOOST_REQUIRE(!fixture.broker.expectsReply(peer.address()));
+        fixture.runUntil([&] {
+            return client.received.size() >= Fixture::mayHaveRun("a1").size();
+        });
+        BOOST_TEST(client.received == Fixture::mayHaveRun("a1"), client.received);
+    }
+}
