--- a/tests/platform/brokenanswertest.cpp
+++ b/tests/platform/brokenanswertest.cpp
@@ -31,8 +31,8 @@
 
     ByteServer(EventLoop &loop, Hook hook)
         : m_hook(std::move(hook))
-        , m_listener(loop, [this](std::shared_ptr<TcpStream> stream) {
-            accept(std::move(stream));
+        , m_listener(loop, [this](const std::shared_ptr<TcpStream> &stream) {
+            accept(stream);
         })
     {
         BOOST_REQUIRE(!m_listener.listen("127.0.0.1:0"));
@@ -61,7 +61,7 @@
         bool broken = false;
     };
 
-    void accept(std::shared_ptr<TcpStream> stream)
+    void accept(const std::shared_ptr<TcpStream> &stream)
     {
         const auto connection = std::make_shared<Connection>(Connection{stream, {}});
         stream->onData = [this, weak = std::weak_ptr<Connection>(connection)](std::string_view data) {
@@ -335,8 +335,8 @@
             };
             Client client(fixture.loop, fixture.port.address());
             client.send("/safe/broken", "a1");
-            const std::string expected =
-                "HTTP/1.1 " + status + "\r\nX-Yuccagrade-Server-Signature: " + signature + "\r\nX-Yuccagrade-Request-Id: a1\r\nContent-Length: 0\r\n\r\n";
+            std::string expected = "HTTP/1.1 " + status + "\r\nX-Yuccagrade-Server-Signature: ";
+            expected += signature + "\r\nX-Yuccagrade-Request-Id: a1\r\nContent-Length: 0\r\n\r\n";
             fixture.runUntil([&] {
                 return client.received.size() >= expected.size();
             });
--- a/tests/support/brokenresponses.h
+++ b/tests/support/brokenresponses.h
@@ -129,11 +129,13 @@
     const auto add = [&responses, &fields](const std::string &body) {
         responses.push_back({"chunks " + body, "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n" + body});
     };
-    const std::string last = "\r\n0\r\n\r\n";
+    const std::string last = brokenBody + "\r\n0\r\n\r\n";
+    const std::string first = "5\r\n" + brokenBody;
+    const std::string chunks = first + "\r\n0\r\n";
     for (const std::string &line :
          {"x\r\n"s,  "\r\n"s,     "-5\r\n"s, "+5\r\n"s, "0x5\r\n"s, " 5\r\n"s, "5 \r\n"s,     "5 5\r\n"s,     "5\t\r\n"s,    "5 x\r\n"s,
           "5x\r\n"s, ";a=b\r\n"s, "5\n"s,    "5\r"s,    "5\rX"s,    "5;a\n"s,  "5;a\rb\r\n"s, "5;a\x01\r\n"s, "5;a\0b\r\n"s, "10000000000000005\r\n"s}) {
-        add(line + brokenBody + last);
+        add(line + last);
     }
     // The data of a chunk is followed by a line end.
     for (const std::string &end : {"0\r\n\r\n"s,
@@ -146,11 +148,12 @@
                                    "\r\n0\r\n\rX"s,
                                    "\r\n0\rX\r\n"s,
                                    "\r\n0 x\r\n\r\n"s}) {
-        add("5\r\n" + brokenBody + end);
+        add(first + end);
     }
     for (const std::string &trailer :
          {"X Y: 1"s, "X-Y : 1"s, " X-Y: 1"s, "\tX-Y: 1"s, "X\x01Y: 1"s, "X\x7fY: 1"s, ": 1"s, "X(Y): 1"s, "no colon"s, "X-Y: 1\rX-Z: 2"s, "X-Y: a\0b"s}) {
-        add("5\r\n" + brokenBody + "\r\n0\r\n" + trailer + "\r\n\r\n");
+        std::string body = chunks;
+        add(body.append(trailer).append("\r\n\r\n"));
     }
     return responses;
 }
