--- a/tests/platform/brokenanswertest.cpp
+++ b/tests/platform/brokenanswertest.cpp
@@ -26,7 +26,7 @@
 class ByteServer
 {
 public:
-    /// Returns the bytes to send for a request; the connection closes behind them if @p closes is set.
+    /// Returns the bytes to send for a request.
     using Hook = std::function<std::string(const std::string &target, const std::string &requestId)>;
 
     ByteServer(EventLoop &loop, Hook hook)
@@ -52,7 +52,7 @@
     {
         return m_reuses;
     }
-    bool closes = false; ///< the connection ends with each broken response
+    bool closes = false; ///< closes the connection behind each broken response
 
 private:
     struct Connection {
@@ -238,7 +238,8 @@
         loop.run();
         loop.cancel(check);
     }
-    /// Sends a request on a broken response's way between others, on its own connection and on theirs, and checks what each client gets.
+    /// Sends a request that gets a broken response, requests of another client before, beside and after it, and one more on its own
+    /// connection. Checks all that both clients get.
     void checkClients(const std::string &target, const std::string &name, int maxRuns)
     {
         Client client(loop, port.address());
