--- a/packages/mesh/fleetconfig.h
+++ b/packages/mesh/fleetconfig.h
@@ -83,6 +83,11 @@
     const Route *route(std::string_view host, std::string_view path) const;
     /// Returns the team to which @p key belongs, or null.
     const Team *teamOfKey(std::string_view key) const;
+    /// Number of different keys of all teams.
+    std::size_t keyCount() const
+    {
+        return m_teamOfKey.size();
+    }
     const Team *team(std::string_view name) const;
     const ServiceSpec *service(std::string_view name) const;
 
--- a/packages/meshnode/meshnode.cpp
+++ b/packages/meshnode/meshnode.cpp
@@ -563,7 +563,11 @@
         probeUpstream();
     }
     m_log.write(Event::StateApplied,
-                {{"index", std::to_string(m_configIndex)}, {"config", std::to_string(config->version)}, {"routes", std::to_string(config->routes.size())}});
+                {{"index", std::to_string(m_configIndex)},
+                 {"config", std::to_string(config->version)},
+                 {"routes", std::to_string(config->routes.size())},
+                 {"teams", std::to_string(config->teams.size())},
+                 {"keys", std::to_string(config->keyCount())}});
 }
 
 void Node::probeUpstream()
