CallBroker: a configuration without teams lets no key in

What callers saw: once an operator withdrew the last key by an empty list of teams, every node served requests on all routes with the withdrawn key, with keys that never existed and without any; the servers got no team.

Cause: CallBroker::authorize() took a configuration without teams for one that needs no keys, and the reader of the document gave it the same empty list for a list that is empty and one that is missing.

Change: FleetConfig::requiresKeys, true unless the document has no list of teams. A key that no team holds gets 401 (503 without a confirmed configuration) also if requests need none, since leaving out the list withdraws its keys. A list of teams that is null is refused; it was read as a missing one.

Why it works: whether requests need keys no longer follows from the number of teams, and no key is valid that the present list does not hold. The text of the document is what is stored, replicated and pushed, so every process reads the same from it.

--- a/packages/mesh/fleetconfig.h
+++ b/packages/mesh/fleetconfig.h
@@ -74,6 +74,7 @@
     std::vector<Route> routes;
     std::vector<ServiceSpec> services;
     std::vector<Team> teams;
+    bool requiresKeys = true; ///< requests on routes that are not open need a key of a team; without teams none is valid
     CallerLimits limits;
 
     /// Builds the lookup tables and adds a finding for each inconsistency. Must be called after the last change.
@@ -83,6 +84,11 @@
     const Route *route(std::string_view host, std::string_view path) const;
     /// Returns the team to which @p key belongs, or null.
     const Team *teamOfKey(std::string_view key) const;
+    /// True if requests on @p route may come without a key.
+    bool allowsNoKey(const Route &route) const
+    {
+        return route.open || !requiresKeys;
+    }
     /// Number of different keys of all teams.
     std::size_t keyCount() const
     {
--- a/packages/meshnode/callbroker.cpp
+++ b/packages/meshnode/callbroker.cpp
@@ -173,14 +173,14 @@
 }
 
 // Keys are checked for each request and not once per connection, since a persistent connection may outlast the withdrawal
-// of its key.
+// of its key. A key that no team holds is refused even if the configuration requires none: it may have been withdrawn.
 bool CallBroker::authorize(const CallPtr &pending, const CallerRequest &request)
 {
     Call &call = *pending;
     call.priority = call.route->priority;
     call.kind = static_cast<std::uint32_t>(std::hash<std::string>()(call.route->name));
     call.nested = call.route->open;
-    if (call.route->open || call.config->teams.empty()) {
+    if (call.route->open || (!request.key && call.config->allowsNoKey(*call.route))) {
         return true;
     }
     if (!areKeysFresh()) {
@@ -189,7 +189,7 @@
     }
     const Team *team = request.key ? call.config->teamOfKey(*request.key) : nullptr;
     if (!team) {
-        prepareDenial(pending, request, request.key.value_or("-"), request.key ? "unknown key" : "no key");
+        prepareDenial(pending, request, request.key.value_or(noKey), request.key ? "unknown key" : "no key");
         return false;
     }
     call.team = team->name;
--- a/packages/meshnode/denialhistory.cpp
+++ b/packages/meshnode/denialhistory.cpp
@@ -13,7 +13,7 @@
 bool knows(const FleetConfig &config, const Denial &denial)
 {
     const Route *route = config.route(denial.host, denial.path);
-    return route && (denial.key.empty() || route->open || config.teamOfKey(denial.key));
+    return route && (denial.key.empty() || route->open || (denial.key == noKey && config.allowsNoKey(*route)) || config.teamOfKey(denial.key));
 }
 }
 
--- a/packages/meshnode/denialhistory.h
+++ b/packages/meshnode/denialhistory.h
@@ -10,12 +10,15 @@
 
 namespace Yuccagrade::Mesh
 {
+/// Key of a denied request that had none.
+constexpr auto noKey = "-";
+
 /// A request that was refused because the configuration did not know its route or its key.
 struct Denial {
     std::string requestId;
     std::string host;
     std::string path;
-    std::string key; ///< empty if the route was unknown
+    std::string key; ///< noKey if it had none; empty if the route was unknown
     std::uint64_t configVersion = 0;
     double atMs = 0;
 };
--- a/tests/meshnode/callbrokertest.cpp
+++ b/tests/meshnode/callbrokertest.cpp
@@ -206,6 +206,40 @@
     BOOST_TEST(fixture.answer("/old/x", "k1").starts_with("HTTP/1.1 200"));
 }
 
+// Guards against a configuration without any key that lets every request in, and against a key that works without a list of teams.
+BOOST_AUTO_TEST_CASE(configurationWithoutKeysLetsNoKeyIn)
+{
+    Fixture fixture;
+    fixture.broker.onConfirmationNeeded = [&] {
+        fixture.loop.after(1, [&] {
+            fixture.broker.confirmConfig(static_cast<double>(fixture.loop.clock().now()));
+        });
+    };
+    const auto withoutTeams = [](bool requiresKeys) {
+        auto result = std::make_shared<FleetConfig>(*config(1, {"/old/"}, {}));
+        result->teams.clear();
+        result->requiresKeys = requiresKeys;
+        return result;
+    };
+    const std::string request = "GET /old/y HTTP/1.1\r\nHost: h\r\n\r\n";
+    for (const auto &present : {config(1, {"/old/"}, {}), std::shared_ptr<const FleetConfig>(withoutTeams(true))}) {
+        fixture.broker.setConfig(present);
+        BOOST_TEST(fixture.answer("/old/x", "k1").starts_with("HTTP/1.1 401"));
+        fixture.received.clear();
+        fixture.client->write(request);
+        fixture.run();
+        BOOST_TEST(fixture.received.starts_with("HTTP/1.1 401"));
+    }
+    fixture.broker.setConfig(withoutTeams(false));
+    BOOST_TEST(fixture.answer("/old/x", "k1").starts_with("HTTP/1.1 401"));
+    fixture.received.clear();
+    fixture.client->write(request);
+    fixture.run();
+    BOOST_TEST(fixture.received.starts_with("HTTP/1.1 200"));
+    fixture.broker.setKeysFreshUntil(0);
+    BOOST_TEST(fixture.answer("/old/x", "k1").starts_with("HTTP/1.1 503"));
+}
+
 // Guards against a final answer by a node that cannot know whether its configuration is the newest.
 BOOST_AUTO_TEST_CASE(requestIsRefusedForNowWithoutConfirmation)
 {
--- a/tests/meshnode/denialhistorytest.cpp
+++ b/tests/meshnode/denialhistorytest.cpp
@@ -49,4 +49,11 @@
     BOOST_TEST(history.lastVersionKnowing(denial("/b/y")) == 4U);
     BOOST_TEST(history.lastVersionKnowing(denial("/a/y", "k1")) == 1U);
     BOOST_TEST(history.lastVersionKnowing(denial("/d/y")) == 0U);
+    BOOST_TEST(history.lastVersionKnowing(denial("/a/y", noKey)) == 0U);
+    auto open = std::make_shared<FleetConfig>(*config(5, {"/a/"}, {}));
+    open->teams.clear();
+    open->requiresKeys = false;
+    history.setConfig(open);
+    BOOST_TEST(history.lastVersionKnowing(denial("/a/y", noKey)) == 5U);
+    BOOST_TEST(history.lastVersionKnowing(denial("/a/y", "k3")) == 0U);
 }
--- a/tests/platform/platformtest.cpp
+++ b/tests/platform/platformtest.cpp
@@ -69,6 +69,26 @@
     BOOST_TEST(config.service("s1")->maxConnections == 370);
 }
 
+// Guards against an empty list of teams that is read as a missing one, after which requests need no key.
+BOOST_AUTO_TEST_CASE(onlyAMissingListOfTeamsWaivesKeys)
+{
+    const auto requiresKeys = [](const std::string &text) {
+        FleetConfig config;
+        Findings findings;
+        Platform::readDocument(text, config, findings);
+        BOOST_REQUIRE_MESSAGE(findings.empty(), toText(findings));
+        return config.requiresKeys;
+    };
+    const std::string teams = document.substr(document.find(R"("tenants")"));
+    BOOST_TEST(requiresKeys(document));
+    BOOST_TEST(requiresKeys(replaced(document, teams, R"("tenants":[]})")));
+    BOOST_TEST(requiresKeys(replaced(document, R"("apiKeys":["k1","k2"],)", "")));
+    BOOST_TEST(!requiresKeys(replaced(document, ",\n " + teams, "}")));
+    for (const std::string value : {"null", "{}", "\"\"", "0", "false"}) {
+        BOOST_TEST(findingsOf(replaced(document, teams, R"("tenants":)" + value + '}')) == 1U, value);
+    }
+}
+
 // Guards against a configuration that is refused for a download route, and against cold limits and regions that are dropped.
 BOOST_AUTO_TEST_CASE(downloadsColdLimitsAndRegionsAreRead)
 {
--- a/tests/soak/standins.cpp
+++ b/tests/soak/standins.cpp
@@ -93,6 +93,9 @@
 
 void Ledger::runs(const std::string &id, const HttpMessage &message, const std::string &server)
 {
+    if (onRun) {
+        onRun(id);
+    }
     const auto found = m_requests.find(id);
     if (found == m_requests.end()) {
         violation(server + " runs a request that nobody sent: " + id);
--- a/tests/soak/standins.h
+++ b/tests/soak/standins.h
@@ -51,6 +51,8 @@
     void answered(const std::string &id, const std::optional<HttpMessage> &answer);
     void keyWithdrawn(const std::string &key);
     void routeDropped(const std::string &route);
+    /// Called with the id of each request that a server starts to run, if set.
+    std::function<void(const std::string &id)> onRun;
     /// Returns true if every configuration that may be in force allows a request.
     std::function<bool(const Request &)> isAllowed;
     /// Number of times that a request has run.
