--- a/tests/integration/promise_keys.cpp
+++ b/tests/integration/promise_keys.cpp
@@ -316,6 +316,59 @@
     }
 }
 
+// Invariant 5: guards against nodes that let every request in once no key is left: the last one is withdrawn, or the last team is removed.
+// Both hold after a restart of all processes.
+BOOST_FIXTURE_TEST_CASE(withoutAnyKeyNoRequestRuns, ControlMesh)
+{
+    const auto received = [this] {
+        int sum = 0;
+        for (const Host *node : nodes()) {
+            sum += upstreamStats(*node)["received"].asInt();
+        }
+        return sum;
+    };
+    const auto waitUntilDenied = [this](const std::string &key) {
+        for (const Host *node : nodes()) {
+            BOOST_REQUIRE(waitFor(
+                [&] {
+                    return call(*node, "/status", key, "x").status == 401;
+                },
+                20000));
+        }
+    };
+    const auto checkDenied = [&](const std::vector<std::string> &keys) {
+        const int before = received();
+        for (const Host *node : nodes()) {
+            for (const std::string &key : keys) {
+                for (const std::string path : {"/status", "/island"}) {
+                    BOOST_TEST(call(*node, path, key, "x").status == 401, path << " with key '" << key << "'");
+                }
+            }
+        }
+        BOOST_TEST(received() == before);
+    };
+    const std::string unknownKey = "ygk_unknown.key";
+    withdrawKey(team.id);
+    waitUntilDenied(team.key);
+    checkDenied({team.key, unknownKey, {}});
+    const TeamKey south = giveKey("south");
+    waitUntilServing("/status", south.key);
+    std::string withoutTeams = manifest(2);
+    withoutTeams.erase(withoutTeams.find("[route north]"));
+    apply(withoutTeams);
+    waitUntilDenied(south.key);
+    checkDenied({team.key, south.key, unknownKey, {}});
+    for (Host *host : allHosts()) {
+        host->daemon->kill();
+        host->daemon.reset();
+    }
+    for (Host *host : allHosts()) {
+        start(*host);
+    }
+    waitUntilDenied(south.key);
+    checkDenied({team.key, south.key, unknownKey, {}});
+}
+
 // Invariant 3: guards against a request that runs for a team whose key did not come with it.
 BOOST_FIXTURE_TEST_CASE(requestRunsOnlyForTheTeamOfItsKey, ControlMesh)
 {
