Platform: an empty or null member of a configuration is no missing one

What operators saw: a version with an empty or null list of weighted services, of allowed regions, or a null rate limit was acknowledged and read as if the member were missing, which lifts the limit or sends all requests elsewhere.

What is refused is not stored, so the version before stays in force.

--- a/tests/integration/mesh_keys.cpp
+++ b/tests/integration/mesh_keys.cpp
@@ -183,3 +183,32 @@
         checkNotRun(key, "node that was cut off");
     }
 }
+
+// Guards against a change that is put in force although an empty or null member lifts what the version before restricts.
+BOOST_FIXTURE_TEST_CASE(undecidedMembersAreRefused, KeyedMesh)
+{
+    const Host &present = leader();
+    const std::uint64_t inForce = version();
+    const Change next(inForce, inForce + 1);
+    const std::string service = R"("service":"deep")";
+    std::vector<Change> changes;
+    for (const std::string parts : {R"(,"weightedServices":[])", R"(,"weightedServices":null)", R"(,"allowedRegions":[])", R"(,"allowedRegions":null)"}) {
+        changes.push_back(next);
+        changes.back().document.insert(next.document.find(service) + service.size(), parts);
+    }
+    for (const std::string teams : {"null",
+                                    "{}",
+                                    R"([{"name":"red","apiKeys":null}])",
+                                    R"([{"name":"red","apiKeys":["key-0"],"ratePerS":null}])",
+                                    R"([{"name":"red","apiKeys":[""]}])"}) {
+        changes.push_back(withTeams(next, teams));
+    }
+    for (const Change &change : changes) {
+        const long status = submit(present, change);
+        BOOST_TEST(status == 400, change.document << ": " << status);
+    }
+    leader();
+    BOOST_TEST(version() == inForce);
+    waitUntilServed(heldKey);
+    checkRefused(unknownKey, 401, "after refused changes");
+}
--- a/tests/platform/platformtest.cpp
+++ b/tests/platform/platformtest.cpp
@@ -170,6 +170,42 @@
     BOOST_TEST(findingsOf("[]") == 1U);
 }
 
+// Guards against an empty or null member that is read as a missing one, and so lifts a limit or sends requests elsewhere.
+BOOST_AUTO_TEST_CASE(emptyAndNullMembersAreNoMissingOnes)
+{
+    const std::string single = R"("service":"s2","maxAttempts")";
+    const std::string parts = R"("weightedServices":[{"service":"s1","weight":90},{"service":"s2","weight":10}])";
+    const std::vector<std::pair<std::string, std::string>> changes = {
+        {parts, R"("service":"s1","weightedServices":[])"},
+        {parts, R"("service":"s1","weightedServices":null)"},
+        {parts, R"("service":"s1","weightedServices":{})"},
+        {single, R"("service":"s2","allowedRegions":[],"maxAttempts")"},
+        {single, R"("service":"s2","allowedRegions":null,"maxAttempts")"},
+        {single, R"("service":"s2","allowedRegions":[""],"maxAttempts")"},
+        {R"("burst":70)", R"("burst":70,"allowedRegions":[])"},
+        {R"("ratePerS":73)", R"("ratePerS":null)"},
+        {R"("burst":70)", R"("burst":null)"},
+        {R"("priority":1)", R"("priority":null)"},
+        {R"("apiKeys":["k1","k2"])", R"("apiKeys":null)"},
+        {R"("apiKeys":["k1","k2"])", R"("apiKeys":[""])"},
+        {R"("maxAttempts":2,"public":false)", R"("maxAttempts":null,"public":false)"},
+        {R"("public":false)", R"("public":null)"},
+        {R"("public":false)", R"("public":"false")"},
+        {R"("maxConnections":370)", R"("maxConnections":null)"},
+        {R"("healthCheck":"/healthz","maxConnections":370)", R"("healthCheck":null,"maxConnections":370)"},
+        {R"("maxBodyBytes":67108864)", R"("maxBodyBytes":null)"},
+        {R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutS":3,"idleTimeoutS":15})", R"("limits":null)"},
+    };
+    for (const auto &[present, changed] : changes) {
+        BOOST_TEST(findingsOf(replaced(document, present, changed)) >= 1U, changed);
+    }
+    // Left out, each of them has a meaning of its own.
+    BOOST_TEST(findingsOf(replaced(document, R"("ratePerS":73,"burst":70)", R"("burst":70)")) == 0U);
+    BOOST_TEST(findingsOf(replaced(document, R"("priority":1,)", "")) == 0U);
+    BOOST_TEST(findingsOf(replaced(document, R"("maxAttempts":2,"public":false)", R"("maxAttempts":2)")) == 0U);
+    BOOST_TEST(findingsOf(replaced(document, R"("healthCheck":"/healthz","maxConnections":370)", R"("coldPerS":0)")) == 0U);
+}
+
 // Guards against time limits and sizes that turn negative because a number in a configuration is too large.
 BOOST_AUTO_TEST_CASE(hugeNumbersOfADocumentAreBounded)
 {
