CallBroker: the head and the body of a reply of another node are checked

What callers saw: while nodes are replaced by this version, a node of an earlier one passes on the broken answer of a server in trouble. Its status was checked since, its head was not: a reply with the status 200 and the head "HTTP/1.1 0 X" reached the client as it was.

Cause: the node of the client sends the head and the body on that the other node made.

Change: defectOfResponse() asks for a final status, the status line of that status, field lines by the grammar without an empty line, a length or a transfer coding, and no body with 204 and 304. Else the call may have run, and the event has the reason.

Evidence: replyWithABrokenHeadReachesNoClient, 20 of 20 broken replies reach the client without the check, none with it; a proper one is passed on byte by byte.

Why it works: all replies of other nodes come this way, and the call ends before the head is used. Not covered: a body that the earlier node cut out of broken chunks.

--- a/packages/meshnode/callbroker.cpp
+++ b/packages/meshnode/callbroker.cpp
@@ -412,17 +412,22 @@
         return;
     }
     const CallPtr call = found->second;
-    // A node of an earlier version passes on what its upstream sent in place of a status.
-    if (reply.outcome != CallOutcome::Answered || isFinal(reply.status)) {
+    // A node of an earlier version passes on a broken answer of its upstream.
+    const std::string_view defect = reply.outcome == CallOutcome::Answered ? defectOfResponse(reply.status, reply.head, reply.body) : std::string_view();
+    if (defect.empty()) {
         finishAttempt(call, reply);
         return;
     }
     m_log.write(Event::UpstreamAnswerBroken,
-                {{"request", call->requestId}, {"upstream", call->upstreamId}, {"node", peerAddress}, {"received", "status " + std::to_string(reply.status)}});
+                {{"request", call->requestId},
+                 {"upstream", call->upstreamId},
+                 {"node", peerAddress},
+                 {"reason", std::string(defect)},
+                 {"received", "status " + std::to_string(reply.status)}});
     ReplyMessage broken;
     broken.callId = reply.callId;
     broken.outcome = CallOutcome::MayHaveRun;
-    broken.reason = "reply without a final status";
+    broken.reason = "broken reply of another node";
     broken.load = reply.load;
     finishAttempt(call, std::move(broken));
 }
--- a/packages/net/httpreader.cpp
+++ b/packages/net/httpreader.cpp
@@ -34,6 +34,29 @@
 constexpr std::array<std::string_view, 8>
     connectionFields{"connection", "keep-alive", "proxy-connection", "te", "trailer", "upgrade", "transfer-encoding", "content-length"};
 
+bool isBodyless(int status)
+{
+    return status / 100 == 1 || status == 204 || status == 304;
+}
+
+// True for the line of a field that says how long a body is.
+bool isFramingLine(std::string_view line)
+{
+    const std::string_view name = line.substr(0, line.find(':'));
+    return equalFieldNames(name, "Content-Length") || equalFieldNames(name, transferEncoding);
+}
+
+bool hasFraming(std::string_view head)
+{
+    while (!head.empty()) {
+        if (isFramingLine(head)) {
+            return true;
+        }
+        head.remove_prefix(head.find('\n') + 1);
+    }
+    return false;
+}
+
 HttpReader &readerOf(http_parser *parser)
 {
     return *static_cast<HttpReader *>(parser->data);
@@ -167,7 +190,7 @@
             }
         }
         message.keepAlive = http_should_keep_alive(parser) != 0;
-        const bool bodyless = message.status / 100 == 1 || message.status == 204 || message.status == 304 || reader.m_noBody;
+        const bool bodyless = isBodyless(message.status) || reader.m_noBody;
         if (reader.m_kind == HttpReader::Kind::Response && !bodyless && !hasKnownCoding(message, parser->http_minor)) {
             reader.m_refusedBytes = *message.field(transferEncoding);
             return -1;
@@ -261,6 +284,29 @@
     return status >= HTTP_STATUS_OK && status <= maxStatus;
 }
 
+std::string_view defectOfResponse(int status, std::string_view head, std::string_view body)
+{
+    constexpr std::string_view lineEnd = "\r\n";
+    if (!isFinal(status)) {
+        return "no final status";
+    }
+    if (!head.starts_with("HTTP/1.1 " + std::to_string(status) + ' ') || !head.ends_with(lineEnd)) {
+        return "head without the status line of the response, or cut";
+    }
+    ResponseSyntax syntax;
+    const bool isOneHead = syntax.check(head) == head.size() && syntax.check(lineEnd) == lineEnd.size();
+    if (syntax.isBroken()) {
+        return syntax.defect();
+    }
+    if (!isOneHead) {
+        return "empty line within the head";
+    }
+    if (hasFraming(head)) {
+        return "head with a length or a transfer coding";
+    }
+    return isBodyless(status) && !body.empty() ? "body behind a head that ends its response" : std::string_view();
+}
+
 std::string describeDefect(const HttpReader &reader)
 {
     return std::string(reader.defect()) + ": " + printable(reader.defectiveBytes());
--- a/packages/net/httpreader.h
+++ b/packages/net/httpreader.h
@@ -39,6 +39,9 @@
 bool isInterim(int status);
 /// True for the status of a response that ends its request.
 bool isFinal(int status);
+/// Returns what is wrong with a response that another process has read and that gets a length of its own, empty if nothing is. @p head has
+/// the status line and the field lines without the empty line at their end.
+std::string_view defectOfResponse(int status, std::string_view head, std::string_view body);
 /// Returns the customary reason phrase of @p status.
 std::string_view reasonPhrase(int status);
 
--- a/tests/platform/brokenanswertest.cpp
+++ b/tests/platform/brokenanswertest.cpp
@@ -407,38 +407,89 @@
     }
 }
 
+namespace
+{
+// The status line and the fields of a proper reply.
+std::string replyHead(int status)
+{
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\nX-Yuccagrade-Server-Signature: " + signature + "\r\n";
+}
+
+// Sends an order whose answer comes as a reply of another node. Returns what the client gets.
+std::string receiveReply(int status, const std::string &head, const std::string &body)
+{
+    Fixture fixture;
+    std::vector<std::shared_ptr<TcpStream>> accepted;
+    TcpListener peer(fixture.loop, [&](std::shared_ptr<TcpStream> stream) {
+        accepted.push_back(std::move(stream));
+    });
+    BOOST_REQUIRE(!peer.listen("127.0.0.1:0"));
+    UpstreamEntry own = fixture.upstreams.entries().front();
+    UpstreamEntry remote = own;
+    own.state = UpstreamState::Draining;
+    remote.id = "i-2";
+    remote.peerAddress = peer.address();
+    fixture.broker.directory().update({own, remote});
+    Client client(fixture.loop, fixture.port.address());
+    client.send("/unsafe/order", "a1");
+    fixture.runUntil([&] {
+        return fixture.broker.expectsReply(peer.address());
+    });
+    ReplyMessage reply;
+    reply.callId = 1;
+    reply.outcome = CallOutcome::Answered;
+    reply.status = status;
+    reply.head = head;
+    reply.body = body;
+    fixture.broker.handleReply(peer.address(), reply);
+    BOOST_REQUIRE(!fixture.broker.expectsReply(peer.address()));
+    fixture.runUntil([&] {
+        return client.received.size() >= Fixture::mayHaveRun("a1").size();
+    });
+    return client.received;
+}
+}
+
 // Guards against a broken answer that a node of an earlier version passed on to the node of the client.
 BOOST_AUTO_TEST_CASE(replyWithoutAFinalStatusReachesNoClient)
 {
     for (const int status : {0, 1, 99, 101, 199, 600, 999, -200}) {
-        Fixture fixture;
-        std::vector<std::shared_ptr<TcpStream>> accepted;
-        TcpListener peer(fixture.loop, [&](std::shared_ptr<TcpStream> stream) {
-            accepted.push_back(std::move(stream));
-        });
-        BOOST_REQUIRE(!peer.listen("127.0.0.1:0"));
-        UpstreamEntry own = fixture.upstreams.entries().front();
-        UpstreamEntry remote = own;
-        own.state = UpstreamState::Draining;
-        remote.id = "i-2";
-        remote.peerAddress = peer.address();
-        fixture.broker.directory().update({own, remote});
-        Client client(fixture.loop, fixture.port.address());
-        client.send("/unsafe/order", "a1");
-        fixture.runUntil([&] {
-            return fixture.broker.expectsReply(peer.address());
-        });
-        ReplyMessage reply;
-        reply.callId = 1;
-        reply.outcome = CallOutcome::Answered;
-        reply.status = status;
-        reply.head = "HTTP/1.1 " + std::to_string(status) + " X\r\n";
-        reply.body = "body";
-        fixture.broker.handleReply(peer.address(), reply);
-        BOOST_REQUIRE(!fixture.broker.expectsReply(peer.address()));
-        fixture.runUntil([&] {
-            return client.received.size() >= Fixture::mayHaveRun("a1").size();
-        });
-        BOOST_TEST(client.received == Fixture::mayHaveRun("a1"), client.received);
+        const std::string received = receiveReply(status, replyHead(status), "body");
+        BOOST_TEST(received == Fixture::mayHaveRun("a1"), received);
+    }
+}
+
+// Guards against the head of a broken answer, or a body where none may be, that such a node passed on.
+BOOST_AUTO_TEST_CASE(replyWithABrokenHeadReachesNoClient)
+{
+    const std::string good = replyHead(200);
+    const std::vector<std::pair<int, std::string>> heads = {
+        {200, {}},
+        {200, replyHead(0)},
+        {200, replyHead(500)},
+        {200, "HTTP/1.1 2000 X\r\n"},
+        {200, "HTTP/1.1 200 X"},
+        {200, "HTTP/1.1 200 X\x01\r\n"},
+        {200, good + "\r\n"},
+        {200, good + "\r\nHTTP/1.1 200 X\r\n"},
+        {200, good + " folded: x\r\n"},
+        {200, good + "blank : x\r\n"},
+        {200, good + "bla nk: x\r\n"},
+        {200, good + "no colon\r\n"},
+        {200, good + ": no name\r\n"},
+        {200, good + "control\x01: x\r\n"},
+        {200, good + "value: a\rb: c\r\n"},
+        {200, good + "cut: x"},
+        {200, good + "Content-Length: 3\r\n"},
+        {200, good + "Transfer-Encoding: chunked\r\n"},
+        {204, replyHead(204)},
+        {304, replyHead(304)},
+    };
+    for (const auto &[status, head] : heads) {
+        const std::string received = receiveReply(status, head, "body");
+        BOOST_TEST(received == Fixture::mayHaveRun("a1"), head << ": " << received);
     }
+    const std::string whole = receiveReply(200, good, "body");
+    BOOST_TEST(whole == good + "X-Yuccagrade-Request-Id: a1\r\nContent-Length: 4\r\n\r\nbody", whole);
+    BOOST_TEST(receiveReply(204, replyHead(204), {}).starts_with("HTTP/1.1 204 X\r\n"));
 }
