yuccagrade check: the loss of the list of teams is a warning

A version that leaves out the list of teams opens all routes to requests without a key; the comparison with the version in force listed the teams as removed and said nothing of that. It is a warning now, and a list that comes back is a difference.

--- a/packages/mesh/configcheck.cpp
+++ b/packages/mesh/configcheck.cpp
@@ -332,6 +332,11 @@
     if (config.version <= inForce.version) {
         remarks.push_back({RemarkKind::Warning, "document", "its version is not higher than that of the version in force"});
     }
+    if (inForce.requiresKeys && !config.requiresKeys) {
+        remarks.push_back({RemarkKind::Warning, "document", "has no list of teams any more: requests need no key"});
+    } else if (config.requiresKeys && !inForce.requiresKeys) {
+        remarks.push_back({RemarkKind::Difference, "document", "has a list of teams now: requests need a key"});
+    }
     compareItems("route", config.routes, inForce.routes, remarks);
     compareItems("service", config.services, inForce.services, remarks);
     compareItems("team", config.teams, inForce.teams, remarks);
--- a/tests/mesh/configchecktest.cpp
+++ b/tests/mesh/configchecktest.cpp
@@ -207,3 +207,18 @@
         return remark.message.find("key-") != std::string::npos;
     }));
 }
+
+// Guards against a list of teams that is left out unnoticed, after which requests need no key.
+BOOST_AUTO_TEST_CASE(comparisonNamesTheLossOfAllKeys)
+{
+    const FleetConfig before = soundConfig();
+    FleetConfig after = before;
+    after.version = before.version + 1;
+    after.teams.clear();
+    BOOST_TEST(!contains(compareConfigs(after, before), RemarkKind::Warning, "document", "requests need no key"));
+    after.requiresKeys = false;
+    BOOST_TEST(contains(compareConfigs(after, before), RemarkKind::Warning, "document", "requests need no key"));
+    FleetConfig again = before;
+    again.version = after.version + 1;
+    BOOST_TEST(contains(compareConfigs(again, after), RemarkKind::Difference, "document", "requests need a key"));
+}
