Tests: a failed test keeps its folder and prints where

Change: TestFolder of the test support, used by all fixtures with processes and by those of the control group. It is kept after a failed check (asked of Boost.Test) and when an exception leaves the test.

Result: folderOfAFailedTestIsKept passes.

--- a/tests/integration/mesh_clients.cpp
+++ b/tests/integration/mesh_clients.cpp
@@ -2,6 +2,7 @@
 
 #include "soak/operator.h"
 #include "support/address.h"
+#include "support/testfolder.h"
 #include "support/transfer.h"
 #include "support/wait.h"
 
@@ -225,9 +226,8 @@
 {
 public:
     SmallMesh()
-        : m_folder(makeFolder())
-        , m_ledger(m_loop)
-        , m_fleet(m_loop, m_ledger, limitedProgram(), m_folder, 1, "memory-mb = " + std::to_string(memoryMb) + '\n')
+        : m_ledger(m_loop)
+        , m_fleet(m_loop, m_ledger, limitedProgram(), m_folder.path(), 1, "memory-mb = " + std::to_string(memoryMb) + '\n')
     {
         m_loop.every(10, [this] {
             if (m_stopping) {
@@ -265,10 +265,6 @@
     {
         m_stopping = true;
         m_thread.join();
-        if (!std::getenv("YUCCAGRADE_KEEP_FOLDER")) {
-            std::error_code ignored;
-            std::filesystem::remove_all(m_folder, ignored);
-        }
     }
     SmallMesh(const SmallMesh &) = delete;
     SmallMesh &operator=(const SmallMesh &) = delete;
@@ -308,26 +304,18 @@
     }
 
 private:
-    static std::string makeFolder()
-    {
-        std::string pattern = (std::filesystem::temp_directory_path() / "yuccagrade-XXXXXX").string();
-        if (!::mkdtemp(pattern.data())) {
-            throw std::runtime_error("no temporary folder");
-        }
-        return pattern;
-    }
     /// Returns a script that starts the program with a low limit of descriptors. The environment variable YUCCAGRADE_DAEMON
     /// names another program, for trials with a mechanism switched off.
     std::string limitedProgram() const
     {
         const char *other = std::getenv("YUCCAGRADE_DAEMON");
-        std::string path = m_folder + "/limited";
+        std::string path = m_folder.path() + "/limited";
         std::ofstream(path) << "#!/bin/sh\nulimit -n " << descriptorLimit << "\nexec \"" << (other ? other : YUCCAGRADED_PROGRAM) << "\" \"$@\"\n";
         std::filesystem::permissions(path, std::filesystem::perms::owner_all);
         return path;
     }
 
-    std::string m_folder;
+    Test::TestFolder m_folder;
     EventLoop m_loop;
     Ledger m_ledger; ///< used by the thread of the loop only
     Fleet m_fleet;
--- a/tests/integration/operatedmesh.h
+++ b/tests/integration/operatedmesh.h
@@ -1,19 +1,18 @@
 #pragma once
 
 #include "soak/operator.h"
+#include "support/testfolder.h"
 #include "support/transfer.h"
 #include "support/wait.h"
 
 #include <algorithm>
 #include <atomic>
 #include <cstdlib>
-#include <filesystem>
 #include <map>
 #include <mutex>
 #include <stdexcept>
 #include <string>
 #include <thread>
-#include <unistd.h>
 #include <vector>
 
 namespace Yuccagrade::Soak
@@ -53,9 +52,8 @@
 {
 public:
     OperatedMesh()
-        : m_folder(makeFolder())
-        , m_ledger(m_loop)
-        , m_fleet(m_loop, m_ledger, program(), m_folder, 1)
+        : m_ledger(m_loop)
+        , m_fleet(m_loop, m_ledger, program(), m_folder.path(), 1)
     {
         for (Host &host : m_fleet.hosts()) {
             if (host.control) {
@@ -85,10 +83,6 @@
     ~OperatedMesh()
     {
         stopLoop();
-        if (!std::getenv("YUCCAGRADE_KEEP_FOLDER")) {
-            std::error_code ignored;
-            std::filesystem::remove_all(m_folder, ignored);
-        }
     }
     OperatedMesh(const OperatedMesh &) = delete;
     OperatedMesh &operator=(const OperatedMesh &) = delete;
@@ -201,16 +195,8 @@
         const char *other = std::getenv("YUCCAGRADE_DAEMON");
         return other ? other : YUCCAGRADED_PROGRAM;
     }
-    static std::string makeFolder()
-    {
-        std::string pattern = (std::filesystem::temp_directory_path() / "yuccagrade-XXXXXX").string();
-        if (!::mkdtemp(pattern.data())) {
-            throw std::runtime_error("no temporary folder");
-        }
-        return pattern;
-    }
 
-    std::string m_folder;
+    Test::TestFolder m_folder;
     EventLoop m_loop;
     Ledger m_ledger; ///< used by the thread of the loop only
     mutable std::mutex m_runsMutex;
--- a/tests/meshcontrol/controlgrouptest.cpp
+++ b/tests/meshcontrol/controlgrouptest.cpp
@@ -2,6 +2,7 @@
 
 #include "base/errc.h"
 #include "meshcontrol/controlgroup.h"
+#include "support/testfolder.h"
 
 #include <cstdlib>
 #include <filesystem>
@@ -90,9 +91,6 @@
     Fleet()
         : log(loop.clock(), "test", "-", Severity::Error)
     {
-        std::string pattern = (std::filesystem::temp_directory_path() / "controlgroup-XXXXXX").string();
-        BOOST_REQUIRE(::mkdtemp(pattern.data()));
-        folder = pattern;
         for (int i = 0; i < 4; ++i) {
             TcpListener probe(loop, {});
             BOOST_REQUIRE(!probe.listen("127.0.0.1:0"));
@@ -102,8 +100,6 @@
     ~Fleet()
     {
         hosts.clear();
-        std::error_code ignored;
-        std::filesystem::remove_all(folder, ignored);
     }
     Host &start(int index, bool bootstrap, bool isDiskFull = false)
     {
@@ -112,7 +108,7 @@
         settings.name = "c" + std::to_string(index);
         settings.peerAddress = addresses[static_cast<std::size_t>(index)];
         settings.seeds = {addresses[0], addresses[1], addresses[2]};
-        settings.dataFolder = folder + "/c" + std::to_string(index);
+        settings.dataFolder = folder.path() + "/c" + std::to_string(index);
         settings.bootstrapGroup = bootstrap;
         settings.fleetLimits.toleratedHosts = 1;
         auto host = std::make_unique<Host>(loop, log, settings);
@@ -167,7 +163,7 @@
 
     EventLoop loop;
     EventLog log;
-    std::string folder;
+    Test::TestFolder folder;
     std::vector<std::string> addresses;
     std::vector<std::unique_ptr<Host>> hosts;
 };
@@ -191,7 +187,7 @@
     const std::size_t lost = fleet.hosts[0].get() == fleet.leader() ? 1 : 0;
     const int index = static_cast<int>(lost);
     fleet.hosts.erase(fleet.hosts.begin() + index);
-    std::filesystem::remove_all(fleet.folder + "/c" + std::to_string(index));
+    std::filesystem::remove_all(fleet.folder.path() + "/c" + std::to_string(index));
     Host &back = fleet.start(index, false);
     fleet.runUntil([&] {
         return fleet.isVoter(back) && back.applied.contains("kept");
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -14,15 +14,6 @@
 {
 namespace
 {
-std::string makeFolder()
-{
-    std::string pattern = (std::filesystem::temp_directory_path() / "yuccagrade-XXXXXX").string();
-    if (!mkdtemp(pattern.data())) {
-        throw std::runtime_error("no temporary folder");
-    }
-    return pattern;
-}
-
 void writeFile(const std::string &path, const std::string &text, bool secret = false)
 {
     std::ofstream file(path);
@@ -55,13 +46,12 @@
 }
 
 Fleet::Fleet(const FleetPlan &plan)
-    : m_folder(makeFolder())
-    , m_operatorSecret(randomToken(32))
+    : m_operatorSecret(randomToken(32))
     , m_upstreams(plan.upstreams)
     , m_proxy(plan.proxied ? std::make_unique<FaultProxy>() : nullptr)
 {
-    writeFile(m_folder + "/cluster-secret", randomToken(32), true);
-    writeFile(m_folder + "/operator-secret", m_operatorSecret, true);
+    writeFile(folder() + "/cluster-secret", randomToken(32), true);
+    writeFile(folder() + "/operator-secret", m_operatorSecret, true);
     for (const DomainPlan &domain : plan.domains) {
         for (int i = 1; i <= domain.controls; ++i) {
             addHost(domain, true, i, {});
@@ -79,10 +69,6 @@
 Fleet::~Fleet()
 {
     m_hosts.clear();
-    if (!std::getenv("YUCCAGRADE_KEEP_FOLDER")) {
-        std::error_code ignored;
-        std::filesystem::remove_all(m_folder, ignored);
-    }
 }
 
 void Fleet::addHost(const DomainPlan &domain, bool isControl, int number, const NodePlan &plan)
@@ -102,7 +88,7 @@
 
 std::string Fleet::path(const Host &host, const std::string &suffix) const
 {
-    return m_folder + '/' + host.id + suffix;
+    return folder() + '/' + host.id + suffix;
 }
 
 void Fleet::writeSettings(const Host &host) const
@@ -127,8 +113,8 @@
     add("operator-address", host.operatorAddress);
     add("source-address", host.ip);
     add("seeds", joined(seeds));
-    add("cluster-secret-file", m_folder + "/cluster-secret");
-    add("operator-secret-file", m_folder + "/operator-secret");
+    add("cluster-secret-file", folder() + "/cluster-secret");
+    add("operator-secret-file", folder() + "/operator-secret");
     add("event-file", path(host, ".events"));
     if (host.isControl) {
         add("members", joined(members));
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -2,6 +2,7 @@
 
 #include "support/faultproxy.h"
 #include "support/process.h"
+#include "support/testfolder.h"
 #include "support/transfer.h"
 
 #include <json/json.h>
@@ -65,7 +66,7 @@
     std::string key;
 };
 
-/// A whole mesh in a temporary folder, which is kept if the environment variable YUCCAGRADE_KEEP_FOLDER is set.
+/// A whole mesh in a temporary folder (TestFolder).
 /// The environment variable YUCCAGRADE_DAEMON names another daemon program, for trials with a mechanism switched off.
 /// The waiting functions throw std::runtime_error when their bound has passed.
 class Fleet
@@ -90,7 +91,7 @@
     std::vector<std::string> callerAddresses();
     const std::string &folder() const
     {
-        return m_folder;
+        return m_folder.path();
     }
 
     /// Sends an operator call to the leader; searches it until one answers with neither 421 nor 503.
@@ -124,7 +125,7 @@
     void writeSettings(const Host &host) const;
     std::string path(const Host &host, const std::string &suffix) const;
 
-    std::string m_folder;
+    TestFolder m_folder;
     std::string m_operatorSecret;
     bool m_upstreams;
     std::unique_ptr<FaultProxy> m_proxy;
--- a/tests/support/selftest/fleettest.cpp
+++ b/tests/support/selftest/fleettest.cpp
@@ -102,6 +102,34 @@
     BOOST_CHECK_THROW(fleet.operatorCall("POST", "/v1/keys", body, 100), std::runtime_error);
 }
 
+// Guards against a failed test whose logs are gone: by a failed check, by an exception that leaves the test.
+BOOST_AUTO_TEST_CASE(folderOfAFailedTestIsKept)
+{
+    unsetenv("YUCCAGRADE_KEEP_FOLDER");
+    const auto ofBoost = TestFolder::hasTestFailed;
+    BOOST_REQUIRE(ofBoost);
+    BOOST_TEST(!ofBoost());
+    std::string folder;
+    TestFolder::hasTestFailed = [] {
+        return true;
+    };
+    {
+        const Fleet fleet(plan(false));
+        folder = fleet.folder();
+    }
+    TestFolder::hasTestFailed = ofBoost;
+    BOOST_TEST(std::filesystem::exists(folder + "/operator-secret"));
+    std::filesystem::remove_all(folder);
+    try {
+        const Fleet fleet(plan(false));
+        folder = fleet.folder();
+        throw std::runtime_error("leaves the test");
+    } catch (const std::runtime_error &) {
+        BOOST_TEST(std::filesystem::exists(folder + "/operator-secret"));
+    }
+    std::filesystem::remove_all(folder);
+}
+
 // Guards against temporary folders that pile up.
 BOOST_AUTO_TEST_CASE(folderIsRemoved)
 {
