--- a/apps/yuccagrade/commandline.cpp
+++ b/apps/yuccagrade/commandline.cpp
@@ -1,5 +1,6 @@
 #include "commandline.h"
 
+#include "base/buildinfo.h"
 #include "subcommand.h"
 
 #include <algorithm>
@@ -139,7 +140,7 @@
         return runSubcommand(*subcommand, rest, environment);
     }
     if (arguments == std::vector<std::string>{"--version"}) {
-        environment.out << "yuccagrade " << YUCCAGRADE_VERSION << '\n';
+        environment.out << versionText("yuccagrade");
         return ExitCode::Success;
     }
     const bool help = arguments == std::vector<std::string>{"--help"};
--- a/apps/yuccagrade/statuspage.cpp
+++ b/apps/yuccagrade/statuspage.cpp
@@ -10,6 +10,7 @@
 bool ProcessStatus::fromJson(const Json::Value &value, ProcessStatus &process)
 {
     JsonReader reader(value);
+    process.sources = value.isObject() && value["sources"].isString() ? value["sources"].asString() : std::string();
     reader.read("id", process.id).read("role", process.role).read("domain", process.domain);
     return reader.read("index", process.index).read("state", process.state).ok();
 }
@@ -52,7 +53,8 @@
         }
     }
     for (const ProcessStatus &process : processes) {
-        out << process.id << "  " << process.role << "  " << process.domain << "  index " << process.index << "  " << process.state << '\n';
+        out << process.id << "  " << process.role << "  " << process.domain << "  index " << process.index << "  " << process.state;
+        out << "  sources " << (process.sources.empty() ? "unknown" : process.sources) << '\n';
     }
     return out.str();
 }
--- a/apps/yuccagrade/statuspage.h
+++ b/apps/yuccagrade/statuspage.h
@@ -14,6 +14,7 @@
     std::string domain;
     std::uint64_t index = 0; ///< applied state index
     std::string state;
+    std::string sources; ///< of its program; empty if it does not tell
 
     static bool fromJson(const Json::Value &value, ProcessStatus &process);
 };
--- a/apps/yuccagraded/main.cpp
+++ b/apps/yuccagraded/main.cpp
@@ -1,3 +1,4 @@
+#include "base/buildinfo.h"
 #include "control/controlruntime.h"
 #include "net/eventloop.h"
 #include "node/noderuntime.h"
@@ -14,7 +15,6 @@
 {
 constexpr int exitUsage = 2;
 constexpr int exitFindings = 3;
-constexpr auto versionText = "yuccagraded 0.1.0";
 
 int run(const std::string &path)
 {
@@ -35,7 +35,7 @@
         "Usage: yuccagraded [--settings] FILE\n\nExit codes: 0 drained, 1 cannot start, 2 usage, 3 findings in the settings\n\nOptions");
     options.add_options()("settings", po::value<std::string>(), "INI file with the settings of this process")(
         "platform",
-        "run on the users' platform, which names the settings file")("help", "show this text")("version", "show the version");
+        "run on the users' platform, which names the settings file")("help", "show this text")("version", "show the version and the digest of the sources");
     try {
         po::variables_map values;
         po::positional_options_description positional;
@@ -46,7 +46,7 @@
             return 0;
         }
         if (values.count("version") > 0) {
-            std::cout << versionText << '\n';
+            std::cout << versionText("yuccagraded");
             return 0;
         }
         if (values.count("platform") > 0) {
--- a/packages/base/eventlog.cpp
+++ b/packages/base/eventlog.cpp
@@ -1,5 +1,7 @@
 #include "eventlog.h"
 
+#include "buildinfo.h"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -44,6 +46,7 @@
     {Event::SettingsReloaded, Info, "settings-reloaded", "The settings file was read again."},
     {Event::LeaderContactLost, Warning, "leader-contact-lost", "The leading control host does not answer."},
     {Event::LeaderContactRegained, Info, "leader-contact-regained", "The leading control host answers again."},
+    {Event::BuildNamed, Info, "build-named", "The process begins and names the sources of its program."},
     {Event::MalformedRequest, Warning, "malformed-request", "A request could not be decoded."},
     {Event::PeerRejected, Warning, "peer-rejected", "A peer message failed authentication or was replayed."},
     {Event::PeerUnreachable, Debug, "peer-unreachable", "A peer did not answer."},
@@ -308,6 +311,12 @@
     return eventInfo(event).severity >= m_impl->threshold;
 }
 
+void EventLog::writeBuild()
+{
+    const BuildInfo &info = buildInfo();
+    write(Event::BuildNamed, {{"version", info.version}, {"sources", info.sources}, {"build", info.build}});
+}
+
 void EventLog::write(Event event, std::initializer_list<EventField> fields)
 {
     const EventInfo &info = eventInfo(event);
--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -22,6 +22,7 @@
     SettingsReloaded = 106,
     LeaderContactLost = 107,
     LeaderContactRegained = 108,
+    BuildNamed = 109,
     MalformedRequest = 110,
     PeerRejected = 111,
     PeerUnreachable = 112,
@@ -161,6 +162,8 @@
     /// Writes an event. Events of single requests (from 700) are limited to 50 per second and number; the next one that
     /// is written carries the count of those left out in the field `suppressed`.
     void write(Event event, std::initializer_list<EventField> fields = {});
+    /// Writes what the program was built from. Called before any other event of a process.
+    void writeBuild();
     /// Returns false if the severity of @p event is below the threshold, so that its fields need not be made.
     bool isWritten(Event event) const;
     HybridClock &hybridClock();
--- a/packages/base/metrics.cpp
+++ b/packages/base/metrics.cpp
@@ -1,5 +1,7 @@
 #include "metrics.h"
 
+#include "buildinfo.h"
+
 #include <array>
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
@@ -56,6 +58,12 @@
     m_counters[fullName(name, labels)] += amount;
 }
 
+void Metrics::gaugeBuild(const std::string &name)
+{
+    const BuildInfo &info = buildInfo();
+    gauge(name, 1, "version=\"" + info.version + "\",sources=\"" + info.sources + "\",build=\"" + info.build + '"');
+}
+
 void Metrics::gauge(const std::string &name, double value, const std::string &labels)
 {
     m_gauges[fullName(name, labels)] = value;
--- a/packages/base/metrics.h
+++ b/packages/base/metrics.h
@@ -19,6 +19,8 @@
     /// Adds a sample, usually in ms, to a summary with estimates of the 50th, 90th and 99th percentile (extended P-square)
     /// and to a histogram with the buckets 1, 2, 5, 10 and so on up to 10,000.
     void sample(const std::string &name, double value, const std::string &labels = {});
+    /// Sets the gauge @p name to 1, with what the program was built from as its labels.
+    void gaugeBuild(const std::string &name);
     /// Returns the value of a counter or gauge, 0 if it does not exist.
     double value(const std::string &name, const std::string &labels = {}) const;
     /// Returns all metrics in the Prometheus text form.
--- a/packages/control/clustercore.cpp
+++ b/packages/control/clustercore.cpp
@@ -1,5 +1,6 @@
 #include "clustercore.h"
 
+#include "base/buildinfo.h"
 #include "base/drift.h"
 #include "base/errc.h"
 
@@ -35,6 +36,7 @@
     self.incarnation = host.identity().incarnation;
     self.domain = host.settings().domain;
     self.region = host.settings().region;
+    self.sources = buildInfo().sources;
     self.peerAddress = host.identity().address;
     self.operatorAddress = host.settings().operatorAddress;
     self.control = true;
--- a/packages/control/operatorapi.cpp
+++ b/packages/control/operatorapi.cpp
@@ -266,6 +266,7 @@
         process["id"] = member.id;
         process["role"] = member.control ? "control" : "node";
         process["domain"] = member.domain;
+        process["sources"] = member.sources;
         process["index"] = Json::UInt64{m_core.view().confirmedIndex(member.id)};
         process["state"] = member.draining ? "draining" : "up";
         page["processes"].append(process);
--- a/packages/meshcontrol/meshcontrol.cpp
+++ b/packages/meshcontrol/meshcontrol.cpp
@@ -158,6 +158,8 @@
     , m_portLimits(portLimits(HostRole::Control, raiseDescriptorLimit(), settings.maxHeldBytes()))
     , m_connectionLimitReport(m_loop.clock(), m_log, m_metrics)
 {
+    m_log.writeBuild();
+    m_metrics.gaugeBuild("build_info");
     guardMemory();
     limitConnections();
     m_links.onFrame = [this](const std::string &, FrameType type, std::string_view payload) {
--- a/packages/meshnode/meshnode.cpp
+++ b/packages/meshnode/meshnode.cpp
@@ -160,6 +160,8 @@
     , m_portLimits(portLimits(HostRole::Node, raiseDescriptorLimit(), settings.maxHeldBytes()))
     , m_connectionLimitReport(m_loop.clock(), m_log, m_metrics)
 {
+    m_log.writeBuild();
+    m_metrics.gaugeBuild("build_info");
     guardMemory();
     limitConnections();
     m_broker.directory().setRegions(settings.regionOfDomain);
--- a/packages/node/controlplane.cpp
+++ b/packages/node/controlplane.cpp
@@ -1,5 +1,6 @@
 #include "controlplane.h"
 
+#include "base/buildinfo.h"
 #include "base/errc.h"
 
 namespace Yuccagrade
@@ -37,6 +38,7 @@
     self.incarnation = identity.incarnation;
     self.domain = settings.domain;
     self.region = settings.region;
+    self.sources = buildInfo().sources;
     self.peerAddress = identity.address;
     return self;
 }
--- a/packages/protocol/syncmessages.cpp
+++ b/packages/protocol/syncmessages.cpp
@@ -68,6 +68,7 @@
     value["region"] = region;
     value["peerAddress"] = peerAddress;
     value["operatorAddress"] = operatorAddress;
+    value["sources"] = sources;
     value["control"] = control;
     value["coordinator"] = coordinator;
     value["draining"] = draining;
@@ -78,6 +79,8 @@
 
 bool Member::fromJson(const Json::Value &value, Member &out)
 {
+    // Programs before the digest of sources leave it out.
+    const bool toldSources = !value.isObject() || !value.isMember("sources") || JsonReader(value).read("sources", out.sources).ok();
     return JsonReader(value)
                .read("id", out.id)
                .read("incarnation", out.incarnation)
@@ -91,7 +94,7 @@
                .read("draining", out.draining)
                .read("up", out.up)
                .ok()
-        && take(value, "upstream", out.upstream) && !out.id.empty();
+        && toldSources && take(value, "upstream", out.upstream) && !out.id.empty();
 }
 
 Json::Value StateConfirmation::toJson() const
--- a/packages/protocol/syncmessages.h
+++ b/packages/protocol/syncmessages.h
@@ -29,6 +29,7 @@
     std::string region;
     std::string peerAddress; ///< advertised address for control messages and data calls
     std::string operatorAddress; ///< control hosts only
+    std::string sources; ///< of its program (BuildInfo::sources); empty for a program that does not tell
     bool control = false;
     bool coordinator = false; ///< holds the coordinator lease of its domain
     bool draining = false;
--- a/packages/runtime/processhost.cpp
+++ b/packages/runtime/processhost.cpp
@@ -38,6 +38,8 @@
     , m_log(m_loop.clock(), settings.id, settings.eventFile, settings.logLevel)
     , m_client(m_loop, sourceIp(settings))
 {
+    m_log.writeBuild();
+    m_metrics.gaugeBuild("yuccagrade_build_info");
 }
 
 ProcessHost::~ProcessHost() = default;
--- a/tests/integration/cli_fleet.cpp
+++ b/tests/integration/cli_fleet.cpp
@@ -1,5 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
+#include "base/buildinfo.h"
 #include "protocol/jsoncodec.h"
 #include "support/fleet.h"
 #include "support/wait.h"
@@ -198,7 +199,10 @@
         BOOST_TEST(call(*node, "/status", key, "x").status == 401);
     }
     BOOST_TEST(runRemote({"show", "keys"}).out == keyId + "  north  withdrawn\n");
-    BOOST_TEST(contains(runRemote({"status"}).out, "withdrawal of key " + keyId + " is in force\n"));
+    const std::string status = runRemote({"status"}).out;
+    BOOST_TEST(contains(status, "withdrawal of key " + keyId + " is in force\n"));
+    BOOST_TEST(contains(status, "up  sources " + Yuccagrade::buildInfo().sources + '\n'), status);
+    BOOST_TEST(contains(run({"--version"}).out, "\nsources " + Yuccagrade::buildInfo().sources + '\n'));
     BOOST_TEST(runRemote({"key", "withdraw", "no-such-key"}).code == 3);
 
     Host &leaving = host("d3-n1");
--- a/tests/integration/mesh_operator.cpp
+++ b/tests/integration/mesh_operator.cpp
@@ -1,7 +1,9 @@
 #include <boost/test/unit_test.hpp>
 
+#include "base/buildinfo.h"
 #include "mesh/messages.h"
 #include "operatedmesh.h"
+#include "protocol/jsoncodec.h"
 #include "support/address.h"
 #include "support/transfer.h"
 #include "support/wait.h"
@@ -14,6 +16,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <filesystem>
+#include <fstream>
 #include <future>
 #include <map>
 #include <poll.h>
@@ -560,3 +563,23 @@
         BOOST_TEST(connection->status(longBoundMs) == 200);
     }
 }
+
+// Guards against a log or metrics of which nobody can tell whether they are of the present program.
+BOOST_FIXTURE_TEST_CASE(everyProcessNamesItsSources, OperatedMesh)
+{
+    const std::string sources = buildInfo().sources;
+    BOOST_TEST(sources.size() == 16U);
+    BOOST_TEST(versionText("yuccagraded").find("\nsources " + sources + '\n') != std::string::npos);
+    for (const Host &host : fleet().hosts()) {
+        std::ifstream log(host.folder + "/log");
+        std::string line;
+        std::getline(log, line);
+        Json::Value first;
+        BOOST_REQUIRE_MESSAGE(parseJson(line, first), host.name << ": " << line);
+        BOOST_TEST(first["name"].asString() == "build-named");
+        BOOST_TEST(first["sources"].asString() == sources);
+        const std::string metrics = Test::httpCall({.address = host.ip + ":9100", .path = "/metrics"}).body;
+        BOOST_TEST(metrics.find("build_info{version=\"" + buildInfo().version + "\",sources=\"" + sources + "\",") != std::string::npos,
+                   host.name << ": " << metrics);
+    }
+}
--- a/tests/membership/membershiptest.cpp
+++ b/tests/membership/membershiptest.cpp
@@ -324,3 +324,19 @@
         }
     }));
 }
+
+// Guards against a process of an earlier program that is no member, because it does not tell its sources.
+BOOST_AUTO_TEST_CASE(memberMayTellNoSources)
+{
+    Member told = node("n1", 1);
+    told.sources = "0123456789abcdef";
+    Json::Value json = told.toJson();
+    Member parsed;
+    BOOST_REQUIRE(Member::fromJson(json, parsed));
+    BOOST_TEST(parsed.sources == told.sources);
+    json.removeMember("sources");
+    BOOST_REQUIRE(Member::fromJson(json, parsed = Member()));
+    BOOST_TEST(parsed.sources.empty());
+    json["sources"] = 1;
+    BOOST_TEST(!Member::fromJson(json, parsed));
+}
