Tests: the soak's operator and a random test withdraw the last key

Change: during the faults the operator withdraws all keys by one change in three, by an empty list of teams or by leaving it out, and gives new ones with the next change; the control host that acknowledged it is killed in half of these cases. Some callers have no key. The ledger counts each run that no configuration in force allows. withdrawnKeysStayWithdrawnUnderDisturbances does the same at all nodes in steps with a drawn disturbance (leader killed or frozen, all control hosts killed, a node that starts, stops, is frozen or cut off), and counts runs of requests that were sent after the withdrawal time.

--- a/tests/integration/mesh_keys.cpp
+++ b/tests/integration/mesh_keys.cpp
@@ -1,10 +1,13 @@
 #include <boost/test/unit_test.hpp>
 
+#include "base/random.h"
 #include "operatedmesh.h"
 
+#include <array>
 #include <chrono>
 #include <set>
 #include <thread>
+#include <utility>
 
 using namespace Yuccagrade;
 using namespace Yuccagrade::Soak;
@@ -19,12 +22,9 @@
 constexpr auto teamWithoutKeyList = R"([{"name":"red"}])";
 constexpr auto otherTeam = R"([{"name":"blue","apiKeys":["key-1"]}])";
 
-/// Returns the change with another list of teams, or without the list if @p teams is empty.
 Change withTeams(Change change, const std::string &teams)
 {
-    const std::size_t at = change.document.find(R"(,"tenants":)");
-    change.document.erase(at);
-    change.document += (teams.empty() ? std::string() : R"(,"tenants":)" + teams) + '}';
+    change.document = Soak::withTeams(std::move(change.document), teams);
     return change;
 }
 
@@ -41,11 +41,15 @@
     {
         const std::string id = "q" + std::to_string(++m_lastId);
         m_idsOfKey[key].insert(id);
+        return send(node, key, id, 3'000);
+    }
+    static long send(const Host &node, const std::string &key, const std::string &id, long timeoutMs)
+    {
         std::vector<std::string> headers{"Host: a.example", "X-Yuccagrade-Request-Id: " + id, "X-Yuccagrade-Deadline-Ms: 2000"};
         if (!key.empty()) {
             headers.push_back("Authorization: Bearer " + key);
         }
-        return Test::httpCall({.address = node.callerAddress, .path = "/read/" + id, .headers = std::move(headers), .timeoutMs = 3'000}).status;
+        return Test::httpCall({.address = node.callerAddress, .path = "/read/" + id, .headers = std::move(headers), .timeoutMs = timeoutMs}).status;
     }
     /// Puts a list of teams in force.
     void publishTeams(const std::string &teams)
@@ -106,6 +110,203 @@
 };
 }
 
+namespace
+{
+/// What happens to the mesh while its configuration changes.
+enum class Disturbance { None, LeaderKilled, AllControlsKilled, NodeStarts, NodeStops, NodeCutOff, NodeFrozen, LeaderFrozen };
+constexpr std::array<std::pair<Disturbance, std::string_view>, 8> disturbanceNames{{
+    {Disturbance::None, "none"},
+    {Disturbance::LeaderKilled, "leader killed"},
+    {Disturbance::AllControlsKilled, "all control hosts killed"},
+    {Disturbance::NodeStarts, "node starts"},
+    {Disturbance::NodeStops, "node stops"},
+    {Disturbance::NodeCutOff, "node cut off"},
+    {Disturbance::NodeFrozen, "node frozen"},
+    {Disturbance::LeaderFrozen, "leader frozen"},
+}};
+
+/// Changes of the list of teams, each under a disturbance, and requests that are sent once the time for a withdrawal has passed.
+class DisturbedKeys : public KeyedMesh
+{
+public:
+    explicit DisturbedKeys(std::uint64_t seed)
+        : m_random(seed)
+    {
+    }
+    void step()
+    {
+        const std::vector<const Host *> all = nodes();
+        m_node = &hostNamed(all.at(m_random.below(all.size()))->name);
+        m_leader = &leader();
+        const auto &[disturbance, name] = disturbanceNames.at(m_random.below(disturbanceNames.size()));
+        const std::string teams = drawTeams();
+        m_when = "step " + std::to_string(++m_step) + ", " + std::string(name) + ", teams " + (teams.empty() ? "left out" : teams);
+        BOOST_TEST_MESSAGE(m_when);
+        begin(disturbance);
+        // A stopped leader may not have acknowledged what another one goes on with.
+        publish(controls(), withTeams(Change(version(), version() + 1), teams));
+        if (disturbance == Disturbance::LeaderKilled) {
+            fleet().kill(*m_leader);
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(static_cast<int>(Ledger::withdrawalMs)));
+        sendToAll(disturbance);
+        end(disturbance);
+        for (int i = 0; i < roundsAfterwards; ++i) {
+            sendToAll(Disturbance::None);
+        }
+        checkRuns();
+        if (m_validKey.empty()) {
+            waitUntilDenied(unknownKey);
+        } else {
+            waitUntilServed(m_validKey);
+        }
+        sendToAll(Disturbance::None);
+        checkRuns();
+    }
+
+private:
+    struct Sent {
+        std::string id;
+        std::string key;
+        std::string node;
+    };
+    static constexpr int roundsAfterwards = 4;
+    static constexpr long timeoutMs = 400;
+
+    Host &hostNamed(const std::string &name)
+    {
+        return *std::find_if(fleet().hosts().begin(), fleet().hosts().end(), [&name](const Host &host) {
+            return host.name == name;
+        });
+    }
+    /// Withdraws all keys, or gives a new one.
+    std::string drawTeams()
+    {
+        const bool gives = m_validKey.empty() ? m_random.below(2) == 0 : m_random.below(4) == 0;
+        if (!m_validKey.empty()) {
+            m_formerKeys.push_back(m_validKey);
+        }
+        m_allowsNoKey = false;
+        m_validKey.clear();
+        if (gives) {
+            m_validKey = "key-" + std::to_string(++m_lastKey);
+            return R"([{"name":"red","apiKeys":[")" + m_validKey + R"("]}])";
+        }
+        const std::array<std::string, 4> lists{noTeams, std::string(), teamWithoutKeys, teamWithoutKeyList};
+        std::string teams = lists.at(m_random.below(lists.size()));
+        m_allowsNoKey = teams.empty();
+        return teams;
+    }
+    void setPathsOfNode(const Test::FaultRule &rule)
+    {
+        for (const Host &other : fleet().hosts()) {
+            if (&other != m_node) {
+                fleet().setPath(*m_node, other, rule);
+                fleet().setPath(other, *m_node, rule);
+            }
+        }
+    }
+    void begin(Disturbance disturbance)
+    {
+        switch (disturbance) {
+        case Disturbance::AllControlsKilled:
+            for (Host *control : controls()) {
+                fleet().kill(*control);
+                fleet().start(*control, false);
+            }
+            break;
+        case Disturbance::NodeStarts:
+            fleet().kill(*m_node);
+            fleet().start(*m_node, false);
+            break;
+        case Disturbance::NodeStops:
+            fleet().stop(*m_node);
+            break;
+        case Disturbance::NodeCutOff:
+            setPathsOfNode({.cut = Test::FaultRule::Cut::Stall});
+            break;
+        case Disturbance::NodeFrozen:
+            m_node->process->freeze();
+            break;
+        case Disturbance::LeaderFrozen:
+            m_leader->process->freeze();
+            break;
+        case Disturbance::None:
+        case Disturbance::LeaderKilled:
+            break;
+        }
+    }
+    void end(Disturbance disturbance)
+    {
+        setPathsOfNode({});
+        if (disturbance == Disturbance::LeaderKilled) {
+            fleet().start(*m_leader, false);
+        } else if (disturbance == Disturbance::NodeStops) {
+            fleet().kill(*m_node);
+            fleet().start(*m_node, false);
+        } else if (disturbance == Disturbance::NodeFrozen) {
+            m_node->process->resume();
+        } else if (disturbance == Disturbance::LeaderFrozen) {
+            m_leader->process->resume();
+        }
+    }
+    void sendToAll(Disturbance disturbance)
+    {
+        std::vector<std::string> keys{unknownKey, noKey, heldKey};
+        if (!m_formerKeys.empty()) {
+            keys.push_back(m_formerKeys.back());
+        }
+        if (!m_validKey.empty()) {
+            keys.push_back(m_validKey);
+        }
+        for (const Host *node : nodes()) {
+            for (const std::string &key : keys) {
+                // Only nodes in touch have to know that requests need keys again.
+                if (node == m_node && key.empty() && disturbance != Disturbance::None) {
+                    continue;
+                }
+                m_sent.push_back({"d" + std::to_string(++m_lastId), key, node->name});
+                send(*node, key, m_sent.back().id, timeoutMs);
+            }
+        }
+    }
+    /// Runs of requests that the present configuration does not allow.
+    void checkRuns()
+    {
+        for (const Sent &sent : std::exchange(m_sent, {})) {
+            const bool allowed = sent.key.empty() ? m_allowsNoKey : sent.key == m_validKey;
+            BOOST_TEST((allowed || runsOf(sent.id) == 0), m_when << ": " << sent.id << " with key '" << sent.key << "' runs, sent to " << sent.node);
+        }
+    }
+
+    Random m_random;
+    Host *m_node = nullptr;
+    Host *m_leader = nullptr;
+    std::string m_when;
+    int m_step = 0;
+    int m_lastId = 0;
+    int m_lastKey = 0;
+    std::string m_validKey = heldKey;
+    bool m_allowsNoKey = false;
+    std::vector<std::string> m_formerKeys;
+    std::vector<Sent> m_sent;
+};
+}
+
+// Guards against requests that run with a withdrawn key, or with one that never was, in states that the other cases do not name. The
+// environment variable YUCCAGRADE_SEED chooses the changes and disturbances, YUCCAGRADE_STEPS their number.
+BOOST_AUTO_TEST_CASE(withdrawnKeysStayWithdrawnUnderDisturbances)
+{
+    constexpr std::uint64_t defaultSeed = 48;
+    constexpr int defaultSteps = 7;
+    const char *seed = std::getenv("YUCCAGRADE_SEED");
+    const char *steps = std::getenv("YUCCAGRADE_STEPS");
+    DisturbedKeys mesh(seed ? std::stoull(seed) : defaultSeed);
+    for (int left = steps ? std::stoi(steps) : defaultSteps; left > 0; --left) {
+        mesh.step();
+    }
+}
+
 // Guards against a fleet that lets every request in because the last key was withdrawn (review/9): the list of teams or of keys is empty
 // or missing, or the key's team is replaced.
 BOOST_FIXTURE_TEST_CASE(lastKeyOfTheFleetStopsWorking, KeyedMesh)
--- a/tests/soak/operator.cpp
+++ b/tests/soak/operator.cpp
@@ -16,6 +16,7 @@
 constexpr double applyMs = 2'000;
 constexpr TimeMs resendPeriodMs = 350;
 constexpr std::uint64_t raceOneIn = 3; // orders that race with a second one on the same base
+constexpr std::uint64_t allKeysOneIn = 3; // changes that withdraw all keys, while they may
 constexpr std::size_t maxKeys = 4;
 constexpr std::size_t maxRoutes = 3;
 constexpr std::size_t rememberedRoutes = 6;
@@ -41,7 +42,11 @@
     for (const std::string &name : configuration.routes) {
         routes.push_back({name, "safe", "front"});
     }
-    return renderConfiguration(version, routes, {configuration.keys.begin(), configuration.keys.end()});
+    std::string document = renderConfiguration(version, routes, {configuration.keys.begin(), configuration.keys.end()});
+    if (configuration.teams == TeamList::Present) {
+        return document;
+    }
+    return withTeams(std::move(document), configuration.teams == TeamList::Empty ? "[]" : "");
 }
 }
 
@@ -79,6 +84,20 @@
         + list(keys, quoted) + "],\"priority\":1,\"ratePerS\":" + rate + ",\"burst\":" + rate + "}]}";
 }
 
+std::string withTeams(std::string configuration, const std::string &teams)
+{
+    configuration.erase(configuration.find(R"(,"tenants":)"));
+    return configuration + (teams.empty() ? std::string() : R"(,"tenants":)" + teams) + '}';
+}
+
+bool Configuration::allows(const Ledger::Request &request) const
+{
+    if (!request.route.empty() && !routes.contains(request.route)) {
+        return false;
+    }
+    return request.open || (request.key.empty() ? teams == TeamList::LeftOut : keys.contains(request.key));
+}
+
 Operator::Operator(EventLoop &loop, Ledger &ledger, Fleet &fleet, Random random)
     : m_loop(loop)
     , m_ledger(ledger)
@@ -108,23 +127,40 @@
     return m_open.empty() || m_loop.clock().preciseMs() - m_configurations.at(m_acknowledged).acknowledgedMs <= boundMs;
 }
 
-bool Operator::everyConfigurationAllows(const Ledger::Request &request) const
+// All from the newest one that must have been in force at a time, but for those that had lost their race by then.
+std::vector<const Configuration *> Operator::possiblyInForce(double sentMs) const
 {
-    // All from the newest one that must have been in force when the request was sent.
     auto first = m_configurations.begin();
     for (auto next = m_configurations.begin(); next != m_configurations.end(); ++next) {
-        if (next->second.acknowledgedMs + Ledger::withdrawalMs <= request.sentMs) {
+        if (next->second.acknowledgedMs + Ledger::withdrawalMs <= sentMs) {
             first = next;
         }
     }
-    return std::all_of(first, m_configurations.end(), [&request](const auto &entry) {
-        const Configuration &configuration = entry.second;
-        const bool excluded = configuration.refusedMs <= request.sentMs;
-        const bool routed = request.route.empty() || configuration.routes.contains(request.route);
-        return excluded || (routed && (request.key.empty() || configuration.keys.contains(request.key)));
+    std::vector<const Configuration *> result;
+    for (; first != m_configurations.end(); ++first) {
+        if (first->second.refusedMs > sentMs) {
+            result.push_back(&first->second);
+        }
+    }
+    return result;
+}
+
+bool Operator::everyConfigurationAllows(const Ledger::Request &request) const
+{
+    const auto configurations = possiblyInForce(request.sentMs);
+    return std::all_of(configurations.begin(), configurations.end(), [&request](const Configuration *configuration) {
+        return configuration->allows(request);
     });
 }
 
+bool Operator::someConfigurationAllows(const Ledger::Request &request) const
+{
+    const auto configurations = possiblyInForce(request.key.empty() ? 0 : request.sentMs);
+    return request.open || std::any_of(configurations.begin(), configurations.end(), [&request](const Configuration *configuration) {
+               return configuration->allows(request);
+           });
+}
+
 const Host &Operator::randomControl()
 {
     std::vector<const Host *> found;
@@ -145,17 +181,25 @@
     return hosts[m_nextControl];
 }
 
-// Gives a key, and adds or drops a route or withdraws a key.
+// Gives a key, and adds or drops a route or withdraws a key; at times withdraws all of them instead.
 void Operator::addChange(const Configuration &base)
 {
     m_version += 1 + m_random.below(3);
-    Configuration next{.base = m_acknowledged, .keys = base.keys, .routes = base.routes};
-    next.keys.erase("key-0");
-    if (!next.keys.empty() && (next.keys.size() >= maxKeys || m_random.below(2) == 0)) {
-        takeRandom(next.keys, m_random);
+    Configuration next{.base = m_acknowledged, .keys = base.keys, .keptKey = base.keptKey, .routes = base.routes};
+    if (m_withdrawsAllKeys && !base.keys.empty() && m_random.below(allKeysOneIn) == 0) {
+        next.teams = m_random.below(2) == 0 ? TeamList::Empty : TeamList::LeftOut;
+        next.keys.clear();
+        next.keptKey.clear();
+    } else {
+        next.keys.erase(next.keptKey);
+        if (!next.keys.empty() && (next.keys.size() >= maxKeys || m_random.below(2) == 0)) {
+            takeRandom(next.keys, m_random);
+        }
+        const std::string given = "key-" + std::to_string(m_version);
+        next.keptKey = base.keptKey.empty() ? given : base.keptKey;
+        next.keys.insert({next.keptKey, given});
+        m_keys.push_back(given);
     }
-    next.keys.insert({"key-0", "key-" + std::to_string(m_version)});
-    m_keys.push_back("key-" + std::to_string(m_version));
     if (!next.routes.empty() && (next.routes.size() >= maxRoutes || m_random.below(3) == 0)) {
         takeRandom(next.routes, m_random);
     }
@@ -172,7 +216,7 @@
 void Operator::order()
 {
     if (m_open.empty()) {
-        const Configuration base = m_acknowledged == 0 ? Configuration{.keys = {"key-0"}} : m_configurations.at(m_acknowledged);
+        const Configuration base = m_acknowledged == 0 ? Configuration{.keys = {"key-0"}, .keptKey = "key-0"} : m_configurations.at(m_acknowledged);
         addChange(base);
         if (m_acknowledged != 0 && m_random.below(raceOneIn) == 0) {
             addChange(base);
@@ -204,7 +248,7 @@
                                    {{"X-Yuccagrade-Base-Version", configuration.base == 0 ? "0" : versionText(configuration.base)}},
                                    configuration.document),
                      orderTimeoutMs,
-                     [this, connection, redirects, version](const std::optional<HttpMessage> &answer) {
+                     [this, connection, redirects, version, address](const std::optional<HttpMessage> &answer) {
                          m_calls.erase(connection);
                          if (!answer) {
                              return;
@@ -219,12 +263,12 @@
                                  }
                              }
                          } else {
-                             handleAnswer(version, answer->status);
+                             handleAnswer(version, answer->status, address);
                          }
                      });
 }
 
-void Operator::handleAnswer(std::uint64_t version, int status)
+void Operator::handleAnswer(std::uint64_t version, int status, const std::string &address)
 {
     Configuration &configuration = m_configurations.at(version);
     const double nowMs = m_loop.clock().preciseMs();
@@ -235,6 +279,9 @@
         m_ledger.violation(order + " is acknowledged after it was refused or lost its race");
     } else if (status == 200 && !acknowledged) {
         accept(version);
+        if (configuration.keys.empty() && onAllKeysWithdrawn) {
+            onAllKeysWithdrawn(address);
+        }
     } else if (isRefusal(status) && acknowledged) {
         m_ledger.violation(order + " is refused with " + std::to_string(status) + " after it was acknowledged");
     } else if (isRefusal(status) && !refused && m_open.size() == 1) {
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -71,6 +71,8 @@
     void note(const std::string &what) const;
     void disturbControls(TimeMs durationMs);
     void end(Host &host, TimeMs downMs);
+    void endLeader(const std::string &operatorAddress);
+    std::string drawKey();
     void cut(TimeMs durationMs);
     void breakResponses(TimeMs durationMs);
     void startSeries();
@@ -119,6 +121,15 @@
     m_ledger.isAllowed = [this](const Ledger::Request &request) {
         return m_operator.everyConfigurationAllows(request);
     };
+    m_ledger.mayRun = [this](const Ledger::Request &request) {
+        return m_operator.someConfigurationAllows(request);
+    };
+    m_operator.onAllKeysWithdrawn = [this](const std::string &address) {
+        note("all keys are withdrawn");
+        if (m_random.below(2) == 0) {
+            endLeader(address);
+        }
+    };
 }
 
 Host &SoakRun::randomHost(bool control)
@@ -154,6 +165,17 @@
     return connection;
 }
 
+// Some callers go on with a key that was withdrawn, and a few have none.
+std::string SoakRun::drawKey()
+{
+    if (m_random.below(12) == 0) {
+        return {};
+    }
+    const bool drawsWithdrawn = m_random.below(4) == 0 || m_operator.keys().empty();
+    const std::vector<std::string> &keys = drawsWithdrawn && !m_operator.withdrawnKeys().empty() ? m_operator.withdrawnKeys() : m_operator.keys();
+    return keys.empty() ? std::string() : keys.at(m_random.below(keys.size()));
+}
+
 void SoakRun::call()
 {
     Host &node = randomHost(false);
@@ -163,9 +185,7 @@
     }
     const std::string id = "r" + std::to_string(++m_lastRequest);
     const bool idempotent = m_random.below(5) < 3;
-    // Some callers go on with a key that was withdrawn.
-    const std::vector<std::string> &keys = m_random.below(4) == 0 && !m_operator.withdrawnKeys().empty() ? m_operator.withdrawnKeys() : m_operator.keys();
-    const std::string key = keys.at(m_random.below(keys.size()));
+    const std::string key = drawKey();
     const std::string body = idempotent ? std::string() : "pay " + id + std::string(m_random.below(2'000), 'p');
     // A part of the reads uses routes that come and go.
     const std::vector<std::string> &routes = m_operator.routes();
@@ -175,19 +195,19 @@
         m_ledger.sent(id, {.idempotent = idempotent, .key = key, .callerService = m_fleet.serviceOf(node), .body = body, .service = "front", .route = route});
     const bool measured = m_measuring && m_operator.everyConfigurationAllows(request);
     m_asked += measured ? 1 : 0;
-    connection->send(
-        renderRequest(idempotent ? "GET" : "POST",
-                      '/' + path + '/' + id,
-                      {{"X-Yuccagrade-Request-Id", id}, {"X-Yuccagrade-Deadline-Ms", std::to_string(callerTimeoutMs)}, {"Authorization", "Bearer " + key}},
-                      body),
-        callerTimeoutMs,
-        [this, id, measured](const std::optional<HttpMessage> &answer) {
-            m_ledger.answered(id, answer);
-            m_whole += measured && answer && answer->status == 200 ? 1 : 0;
-            if (m_calm && !answer && m_ledger.runsOf(id) > 0) {
-                m_ledger.violation("planned stop cuts " + id + ", which ran");
-            }
-        });
+    std::vector<HttpMessage::Field> fields{{"X-Yuccagrade-Request-Id", id}, {"X-Yuccagrade-Deadline-Ms", std::to_string(callerTimeoutMs)}};
+    if (!key.empty()) {
+        fields.emplace_back("Authorization", "Bearer " + key);
+    }
+    connection->send(renderRequest(idempotent ? "GET" : "POST", '/' + path + '/' + id, fields, body),
+                     callerTimeoutMs,
+                     [this, id, measured](const std::optional<HttpMessage> &answer) {
+                         m_ledger.answered(id, answer);
+                         m_whole += measured && answer && answer->status == 200 ? 1 : 0;
+                         if (m_calm && !answer && m_ledger.runsOf(id) > 0) {
+                             m_ledger.violation("planned stop cuts " + id + ", which ran");
+                         }
+                     });
 }
 
 void SoakRun::disturbControls(TimeMs durationMs)
@@ -213,6 +233,15 @@
     });
 }
 
+void SoakRun::endLeader(const std::string &operatorAddress)
+{
+    for (Host &host : m_fleet.hosts()) {
+        if (m_faults && host.control && host.operatorAddress == operatorAddress) {
+            end(host, maxDurationMs);
+        }
+    }
+}
+
 void SoakRun::cut(TimeMs durationMs)
 {
     Test::FaultRule rule;
@@ -468,6 +497,7 @@
 {
     std::cout << "faults begin after " << m_lastRequest << " requests" << std::endl;
     m_faults = true;
+    m_operator.setWithdrawsAllKeys(true);
     fault();
     if (m_series) {
         m_loop.after(m_faultMs / 2, [this] {
@@ -482,6 +512,7 @@
 void SoakRun::recover()
 {
     m_faults = false;
+    m_operator.setWithdrawsAllKeys(false);
     m_fleet.heal();
     for (Host &host : m_fleet.hosts()) {
         if (host.process && host.frozen) {
--- a/tests/soak/standins.cpp
+++ b/tests/soak/standins.cpp
@@ -118,6 +118,9 @@
     if (message.field("Authorization") || fieldOf(message, "X-Yuccagrade-Tenant") != (request.key.empty() ? "" : "red")) {
         violation(server + " got the key or a wrong team for " + id);
     }
+    if (mayRun && !mayRun(request)) {
+        violation(server + " runs " + id + " with key '" + request.key + "', which no configuration in force allows");
+    }
     const auto withdrawn = m_withdrawnMs.find(request.key);
     if (withdrawn != m_withdrawnMs.end() && request.sentMs > withdrawn->second + withdrawalMs) {
         violation(server + " runs " + id + " with a withdrawn key");
@@ -403,7 +406,7 @@
         return;
     }
     const std::string nested = id + ".n" + std::to_string(++m_nested);
-    m_ledger.sent(nested, {.callerService = m_plan.service, .service = "deep", .repeated = m_ledger.runsOf(id) > 1});
+    m_ledger.sent(nested, {.open = true, .callerService = m_plan.service, .service = "deep", .repeated = m_ledger.runsOf(id) > 1});
     const auto outbound = CallerConnection::open(m_loop, m_plan.outboundAddress, m_ledger);
     if (!outbound) {
         answer(connection, id, 500);
--- a/tests/soak/standins.h
+++ b/tests/soak/standins.h
@@ -21,7 +21,8 @@
     /// A request as its caller sent it.
     struct Request {
         bool idempotent = true;
-        std::string key = {}; ///< empty for a nested call
+        std::string key = {}; ///< empty for none
+        bool open = false; ///< its route needs no key, as those of nested calls
         std::string callerService = {}; ///< of the host where it began
         std::string body = {};
         std::string service = {}; ///< that its route leads to
@@ -55,6 +56,8 @@
     std::function<void(const std::string &id)> onRun;
     /// Returns true if every configuration that may be in force allows a request.
     std::function<bool(const Request &)> isAllowed;
+    /// Returns true if some configuration that may be in force allows a request.
+    std::function<bool(const Request &)> mayRun;
     /// Number of times that a request has run.
     int runsOf(const std::string &id) const;
     /// Checks the budget of repeated sends in each window.
