ControlHost: nodes of earlier versions learn that no key is left

Cause: the leader sends the operator's text as it is, and a node before FleetConfig::requiresKeys takes an empty list for a missing one.

Change: to nodes a configuration without any team goes as one with a single team that has no keys. The stored text and the operators' reads stay as they were.

Evidence: earlierNodesLearnThatNoKeyIsLeft reports to the leader as a new node; it gets an empty list on and fails, and passes with the change.

Why it works: all versions read a team without keys as 'no key is valid'.

--- a/packages/mesh/protocoladapter.h
+++ b/packages/mesh/protocoladapter.h
@@ -84,6 +84,8 @@
     std::function<OperatorCall(const HttpMessage &request)> readOperatorCall;
     /// Parses a published configuration; defects are added to @p findings.
     std::function<void(const std::string &document, FleetConfig &config, Findings &findings)> readDocument;
+    /// Returns a published configuration that lets no key in, in a form that says so to nodes of all versions.
+    std::function<std::string(const std::string &document)> renderWithoutKeys;
     std::string readinessPath; ///< path of a GET on the readiness listener
 };
 }
--- a/packages/meshcontrol/meshcontrol.cpp
+++ b/packages/meshcontrol/meshcontrol.cpp
@@ -81,7 +81,7 @@
     void answerEvacuation(const ExchangePtr &exchange, const EvacuationOrder &order, std::error_code error, std::optional<EvacuationResult> result);
     void applyEvacuation(std::uint64_t index, const EvacuationOrder &order);
     void answerMetrics(const ExchangePtr &exchange);
-    void loadTeamRates();
+    void loadConfig();
     LevelController makeLevelController();
     void storeDrains(const SyncMessage &message);
     void guardMemory();
@@ -117,6 +117,7 @@
     std::set<std::string> m_proposedDrains; ///< peer addresses of the nodes whose drains are being stored
     std::map<std::uint64_t, SubmissionResult> m_submissionResults; ///< by log index, for operators waiting on this host
     std::map<std::uint64_t, EvacuationResult> m_evacuationResults; ///< as m_submissionResults
+    std::shared_ptr<const FleetConfig> m_config; ///< the accepted one, while this host leads
     std::map<std::uint64_t, std::string> m_documents; ///< the present one and some before it, by log index
     std::map<std::uint64_t, std::string> m_compressedDocuments; ///< the present one, by SyncReplyMessage::documentBase
     DirectoryHistory m_directoryHistory;
@@ -196,7 +197,7 @@
         }
         if (result == SubmissionResult::Accepted) {
             m_log.write(Event::ManifestAccepted, {{"index", std::to_string(index)}, {"version", std::to_string(submission.version)}});
-            loadTeamRates();
+            loadConfig();
             schedulePush();
         }
     };
@@ -224,7 +225,7 @@
         m_ledger =
             TokenLedger(m_leadsSince, leaseMs, m_leadsSince - m_formerFleetSizeAt <= leaseMs ? m_formerFleetSize : 0, m_settings.fleetLimits.reserveTokens());
         m_levels = makeLevelController();
-        loadTeamRates();
+        loadConfig();
         m_submissionResults.clear();
         m_evacuationResults.clear();
         m_proposedDrains.clear();
@@ -506,13 +507,14 @@
     }
 }
 
-// Keeps the present document, since later ones are compressed by it.
+// Keeps the present document as it is sent to nodes, since later ones are compressed by it.
 void ControlHost::recordDocument()
 {
     if (m_documents.contains(m_store.index())) {
         return;
     }
-    m_documents[m_store.index()] = m_store.document();
+    const bool withoutKeys = m_config && m_config->requiresKeys && m_config->teams.empty();
+    m_documents[m_store.index()] = withoutKeys ? m_adapter.renderWithoutKeys(m_store.document()) : m_store.document();
     m_compressedDocuments.clear();
     if (m_documents.size() > maxDocuments) {
         m_documents.erase(m_documents.begin());
@@ -528,7 +530,8 @@
     reply.documentBase = base == m_documents.end() ? 0 : base->first;
     std::string &text = m_compressedDocuments[reply.documentBase];
     if (text.empty()) {
-        text = reply.documentBase > 0 ? compressChanges(m_store.document(), base->second) : compress(m_store.document());
+        const std::string &document = m_documents.at(m_store.index());
+        text = reply.documentBase > 0 ? compressChanges(document, base->second) : compress(document);
     }
     reply.document = text;
     session.configIndex = m_store.index();
@@ -567,8 +570,8 @@
     return LevelController(std::move(shortage));
 }
 
-// Gives the registry the rate limits of the accepted configuration.
-void ControlHost::loadTeamRates()
+// Reads the accepted configuration, for the rate limits of its teams.
+void ControlHost::loadConfig()
 {
     if (!m_leads || m_store.index() == 0) {
         return;
@@ -577,6 +580,7 @@
     Findings findings;
     m_adapter.readDocument(m_store.document(), *config, findings);
     m_ledger.setConfig(config);
+    m_config = config;
 }
 
 // Makes the reply to the report @p sequence, or an update if it is 0. A reply that asks for the full demand contains no tokens.
--- a/tests/integration/mesh_keys.cpp
+++ b/tests/integration/mesh_keys.cpp
@@ -1,7 +1,11 @@
 #include <boost/test/unit_test.hpp>
 
+#include "base/compress.h"
 #include "base/random.h"
+#include "mesh/framelink.h"
 #include "operatedmesh.h"
+#include "protocol/jsoncodec.h"
+#include "support/address.h"
 
 #include <array>
 #include <chrono>
@@ -385,6 +389,64 @@
     }
 }
 
+namespace
+{
+/// Reports to a control host as a new node and returns the configuration that it sends, empty if none comes in time.
+std::string documentForNewNode(const Host &control)
+{
+    constexpr TimeMs boundMs = 5'000;
+    constexpr TimeMs reportPeriodMs = 200;
+    constexpr std::size_t maxBytes = 1U << 20U;
+    EventLoop loop;
+    Mesh::LinkPool links(loop, Test::nextLoopbackIp());
+    std::string document;
+    links.onClosed = [](const std::string &, bool) {};
+    links.onSent = [](Mesh::FrameType, std::size_t, bool) {};
+    links.isBusy = [](const std::string &) {
+        return false;
+    };
+    links.onFrame = [&](const std::string &, Mesh::FrameType type, std::string_view payload) {
+        Mesh::SyncReplyMessage reply;
+        if (type == Mesh::FrameType::SyncReply && Mesh::decode(payload, reply) && reply.hasDocument && decompress(reply.document, maxBytes, document)) {
+            loop.stop();
+        }
+    };
+    Mesh::SyncMessage report;
+    report.name = "new-node";
+    report.peerAddress = Test::nextLoopbackIp() + ":7000";
+    loop.every(reportPeriodMs, [&] {
+        if (Mesh::FrameLink *link = links.link(control.listenIp + ":7000")) {
+            ++report.sequence;
+            link->send(Mesh::FrameType::Sync, Mesh::encode(report));
+        }
+    });
+    loop.after(boundMs, [&] {
+        loop.stop();
+    });
+    loop.run();
+    return document;
+}
+}
+
+// Guards against nodes of an earlier version that let every request in beside control hosts of this one: they take an empty list of
+// teams for a missing one.
+BOOST_FIXTURE_TEST_CASE(earlierNodesLearnThatNoKeyIsLeft, KeyedMesh)
+{
+    publishTeams(noTeams);
+    const std::string sent = documentForNewNode(leader());
+    Json::Value json;
+    BOOST_REQUIRE_MESSAGE(parseJson(sent, json), sent);
+    BOOST_REQUIRE_EQUAL(json["tenants"].size(), 1U);
+    BOOST_TEST(json["tenants"][0]["apiKeys"].isArray());
+    BOOST_TEST(json["tenants"][0]["apiKeys"].empty());
+    const std::string read = Test::httpCall({.address = leader().operatorAddress, .path = "/Config.Get"}).body;
+    BOOST_TEST(read.find(R"("tenants":[]})") != std::string::npos, "the operator reads " << read);
+    publishTeams({});
+    const std::string withoutList = documentForNewNode(leader());
+    BOOST_REQUIRE(!withoutList.empty());
+    BOOST_TEST(withoutList.find("tenants") == std::string::npos);
+}
+
 // Guards against a change that is put in force although an empty or null member lifts what the version before restricts.
 BOOST_FIXTURE_TEST_CASE(undecidedMembersAreRefused, KeyedMesh)
 {
