Tests: a folder that outlives the tests neither crashes the program nor hides a failure

Cause: since the destructor of TestFolder asks Boost.Test for the running test. The mesh of mesh_clients is destroyed after main(), when there is none. Change: an observer counts failed checks; a folder is kept if the count has grown since it was made, so that one that several tests share is kept too.

--- a/tests/support/failedtest.cpp
+++ b/tests/support/failedtest.cpp
@@ -3,21 +3,39 @@
 
 // main() belongs to the file of the tests.
 #undef BOOST_TEST_MODULE
-#include <boost/test/results_collector.hpp>
+#include <boost/test/tree/observer.hpp>
 #include <boost/test/unit_test.hpp>
 
 namespace
 {
 namespace ut = boost::unit_test;
+using Yuccagrade::Test::TestFolder;
 
-struct FailedTestReport {
-    FailedTestReport()
+class FailureObserver : public ut::test_observer
+{
+public:
+    FailureObserver()
+    {
+        ut::framework::register_observer(*this);
+    }
+    ~FailureObserver() override
+    {
+        ut::framework::deregister_observer(*this);
+    }
+    FailureObserver(const FailureObserver &) = delete;
+    FailureObserver &operator=(const FailureObserver &) = delete;
+
+    void assertion_result(ut::assertion_result result) override
+    {
+        if (result == ut::AR_FAILED) {
+            TestFolder::noteFailure();
+        }
+    }
+    void exception_caught(const boost::execution_exception & /*exception*/) override
     {
-        Yuccagrade::Test::TestFolder::hasTestFailed = [] {
-            return !ut::results_collector.results(ut::framework::current_test_case().p_id).passed();
-        };
+        TestFolder::noteFailure();
     }
 };
-}
 
-BOOST_TEST_GLOBAL_CONFIGURATION(FailedTestReport);
+const FailureObserver failureObserver;
+}
--- a/tests/support/selftest/fleettest.cpp
+++ b/tests/support/selftest/fleettest.cpp
@@ -102,24 +102,30 @@
     BOOST_CHECK_THROW(fleet.operatorCall("POST", "/v1/keys", body, 100), std::runtime_error);
 }
 
-// Guards against a failed test whose logs are gone: by a failed check, by an exception that leaves the test.
-BOOST_AUTO_TEST_CASE(folderOfAFailedTestIsKept)
+// Guards against a failed test whose logs are gone: by a failed check, which is the one of this test that must fail.
+BOOST_AUTO_TEST_CASE(folderOfAFailedCheckIsKept, *boost::unit_test::expected_failures(1))
 {
     unsetenv("YUCCAGRADE_KEEP_FOLDER");
-    const auto ofBoost = TestFolder::hasTestFailed;
-    BOOST_REQUIRE(ofBoost);
-    BOOST_TEST(!ofBoost());
     std::string folder;
-    TestFolder::hasTestFailed = [] {
-        return true;
-    };
     {
         const Fleet fleet(plan(false));
         folder = fleet.folder();
+        BOOST_TEST(false, "expected");
     }
-    TestFolder::hasTestFailed = ofBoost;
-    BOOST_TEST(std::filesystem::exists(folder + "/operator-secret"));
+    BOOST_REQUIRE(std::filesystem::exists(folder + "/operator-secret"));
     std::filesystem::remove_all(folder);
+    {
+        const Fleet fleet(plan(false));
+        folder = fleet.folder();
+    }
+    BOOST_REQUIRE(!std::filesystem::exists(folder));
+}
+
+// Guards against a failed test whose logs are gone: by an exception that leaves the test.
+BOOST_AUTO_TEST_CASE(folderOfAThrowingTestIsKept)
+{
+    unsetenv("YUCCAGRADE_KEEP_FOLDER");
+    std::string folder;
     try {
         const Fleet fleet(plan(false));
         folder = fleet.folder();
@@ -130,6 +136,13 @@
     std::filesystem::remove_all(folder);
 }
 
+// Guards against a test program that crashes at its end, because a folder that all of its tests share outlives them.
+BOOST_AUTO_TEST_CASE(folderMayOutliveTheTests)
+{
+    static const TestFolder folder;
+    BOOST_TEST(std::filesystem::exists(folder.path()));
+}
+
 // Guards against temporary folders that pile up.
 BOOST_AUTO_TEST_CASE(folderIsRemoved)
 {
--- a/tests/support/testfolder.h
+++ b/tests/support/testfolder.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include <functional>
+#include <atomic>
 #include <string>
 
 namespace Yuccagrade::Test
 {
-/// A temporary folder of a test, removed by the destructor. The folder of a failed test is kept and its path printed; the
-/// environment variable YUCCAGRADE_KEEP_FOLDER keeps all of them.
+/// A temporary folder of a test, removed by the destructor. If a check has failed since it was made, or an exception leaves
+/// the test, the folder is kept and its path printed; the environment variable YUCCAGRADE_KEEP_FOLDER keeps all of them.
 class TestFolder
 {
 public:
@@ -21,11 +21,14 @@
         return m_path;
     }
 
-    /// Tells whether the running test has failed; set by failedtest.cpp. An exception that leaves the test counts without it.
-    static std::function<bool()> hasTestFailed;
+    /// Tells all folders that a check has failed. Called by failedtest.cpp.
+    static void noteFailure();
 
 private:
+    static std::atomic<int> failures;
+
     std::string m_path;
+    int m_failures; ///< before the folder was made
     int m_exceptions; ///< in flight when the folder was made
 };
 }
